--- /dev/null
+++ b/src/rules.rs
@@ -0,0 +1,575 @@
+//! Every decision of the proxy. Its whole interface (events, actions, settings) is `src/interface.rs`;
+//! what it remembers of backends, kinds, classes and requests is laid out in `src/state.rs`.
+//!
+//! Ordinary path: `solve` turns the arrival rate and the learned speeds into a share per kind (HALB),
+//! `draw` picks a kind by share and a backend inside it at random. All else is a departure for trouble.
+
+use crate::interface::*;
+use crate::state::*;
+use std::collections::BTreeMap;
+
+/// The shares are solved this often, s: far faster than the rate's memory.
+const SOLVE_EVERY: f64 = 0.1;
+/// ... but not before so many requests have come, and a quota holds as many: fewer are chance alone.
+const FEW: f64 = 5.0;
+/// Where a proxy alone has no room to count, memory of what it holds, s: some ten of its own requests.
+const CROWD_MEMORY: f64 = 5.0;
+/// Memory of the arrival rate and of a tenant's quota, s: short beside a ramp or a failure.
+const RATE_MEMORY: f64 = 2.0;
+/// Samples in a kind's or class's mean: its error is then about a tenth of the spread.
+const KIND_SAMPLES: f64 = 100.0;
+/// Proxies that share a backend, where there are more: each keeps connections to a slice of the fleet
+/// only, as a backend takes few and each costs it. The load of so many still evens out, to a fifth of one's.
+const SHARED_BY: f64 = 20.0;
+/// Requests that all proxies together hold on one backend: a shared processor at four fifths of its
+/// capacity holds four on average; more only makes every one of them later.
+const HOLD: f64 = 4.0;
+/// Error share from which a backend is ejected: two errors close together reach it.
+const ERROR_LIMIT: f64 = 0.3;
+/// Weight of the newest outcome in a backend's error share.
+const ERROR_STEP: f64 = 0.2;
+/// An unanswered attempt this many times older than usual, with no later answer, marks silence.
+const SILENT_AFTER: f64 = 6.0;
+/// First term of an ejection, s; it doubles with each failed return, twice at most.
+const EJECT_TERM: f64 = 1.0;
+/// Good trials before an ejected backend is trusted again.
+const TRIALS: u32 = 3;
+/// Ejected backends beyond half of the fleet are used after all: then it is not they who are ill.
+const PANIC: f64 = 0.5;
+/// Part of this proxy's fall budget that it uses: the rest is for skew between proxies and heavy work.
+const FALL_MARGIN: f64 = 0.8;
+/// Extra attempts for each request: the usual tenth, doubled for the time until a failure is seen.
+const RETRY_RATIO: f64 = 0.2;
+/// A request worth less than this part of a first try within quota finds half of the room: the rest is kept.
+const LOW: f64 = 0.5;
+
+/// HALB: the clamped M/G/1/PS optimum. For kinds of (ready count, speed of one backend) and the arrival
+/// rate, the part of the traffic for each kind; all zero when nothing is ready.
+pub fn halb_shares(kinds: &[(f64, f64)], rate: Option<f64>) -> Vec<f64> {
+    let split = |on: &dyn Fn(&(f64, f64)) -> bool| -> Vec<f64> {
+        let total: f64 = kinds.iter().filter(|k| on(k)).map(|k| k.0).sum();
+        kinds.iter().map(|k| if on(k) && total > 0.0 { k.0 / total } else { 0.0 }).collect()
+    };
+    let Some(rate) = rate else { return split(&|_| true) }; // no rate yet: by ready counts
+    let mut live = kinds.to_vec();
+    loop {
+        let (roots, speeds) = live.iter().fold((0.0, 0.0), |s, k| (s.0 + k.0 * k.1.sqrt(), s.1 + k.0 * k.1));
+        if rate <= speeds * 1e-6 || speeds <= 0.0 {
+            let best = live.iter().filter(|k| k.0 > 0.0).map(|k| k.1).fold(0.0, f64::max);
+            return split(&|k| k.1 == best); // the limit: the fastest kind takes all
+        }
+        let flow = |k: &(f64, f64)| k.0 * k.1 - k.0 * k.1.sqrt() * (speeds - rate) / roots;
+        let flows: Vec<f64> = live.iter().map(flow).collect();
+        if flows.iter().all(|f| *f >= 0.0) {
+            return flows.iter().map(|f| f / rate).collect();
+        }
+        live.iter_mut().zip(&flows).filter(|(_, f)| **f <= 0.0).for_each(|(k, _)| k.0 = 0.0);
+    }
+}
+
+/// The part of its capacity that a backend has at least.
+fn warmth(cfg: &Config, now: Time, entry: &Backend) -> f64 {
+    let age = entry.booted.map_or(f64::MAX, |boot| (now - boot).secs() / cfg.ramp.secs().max(1e-6));
+    cfg.cold_from + (1.0 - cfg.cold_from) * age.min(1.0)
+}
+
+/// The decisions of one proxy. Give it every event in order; it answers with actions.
+pub struct Balancer {
+    cfg: Config,
+    dice: Dice,
+    peers: BTreeMap<BackendId, Peer>,
+    /// The peers by mark, an order that all proxies share.
+    order: Vec<BackendId>,
+    kinds: BTreeMap<KindId, Kind>,
+    classes: Vec<ClassState>,
+    overall: Mean,
+    buckets: Vec<Bucket>,
+    requests: BTreeMap<RequestId, Request>,
+    held: Vec<RequestId>,
+    /// First tries worth less than this have found no room since the last event that could make some.
+    blocked: f64,
+    attempts: BTreeMap<(RequestId, AttemptNo), (BackendId, usize, Time)>,
+    rate: Rate,
+    /// Seconds that this proxy's attempts were out, for each second: its own part of all that is held.
+    crowd: Rate,
+    extra: f64,
+    solve_at: Time,
+    /// When time alone may next call for something, and the timer set for that.
+    look_at: Time,
+    timer: (u64, Time),
+    ask: (Option<Time>, f64),
+    log_at: Time,
+    actions: Vec<Action>,
+}
+
+impl Balancer {
+    /// A proxy that knows nothing yet but its configuration.
+    pub fn new(cfg: Config, seed: u64) -> Result<Balancer, ConfigError> {
+        cfg.validate()?;
+        Ok(Balancer {
+            dice: Dice::new(seed),
+            peers: BTreeMap::new(),
+            order: Vec::new(),
+            kinds: BTreeMap::new(),
+            classes: cfg.classes.iter().map(|_| ClassState::default()).collect(),
+            overall: Mean::default(),
+            buckets: cfg.tenants.iter().map(|_| Bucket::new(RATE_MEMORY, FEW)).collect(),
+            requests: BTreeMap::new(),
+            held: Vec::new(),
+            blocked: 0.0,
+            attempts: BTreeMap::new(),
+            rate: Rate::new(RATE_MEMORY),
+            crowd: Rate::new(CROWD_MEMORY),
+            extra: 0.0,
+            solve_at: Time(0),
+            look_at: Time(0),
+            timer: (0, Time(u64::MAX)),
+            ask: ((cfg.discovery != Discovery::Push).then_some(Time(0)), 0.0),
+            log_at: Time(0),
+            actions: Vec::new(),
+            cfg,
+        })
+    }
+
+    /// Takes one event that happened at `now` and adds the actions it calls for.
+    pub fn handle(&mut self, now: Time, event: Event, actions: &mut Vec<Action>) {
+        if !matches!(event, Event::Request(_) | Event::Timer { .. }) {
+            self.blocked = 0.0; // those two make no room, and trying a long line in vain costs too much CPU
+        }
+        let out = self.attempts.len() as f64;
+        self.crowd.pass(now, out);
+        if now >= self.solve_at && (matches!(event, Event::Request(_)) || !self.held.is_empty()) {
+            self.solve(now); // never for an idle proxy: a thousand of them would cost all the CPU there is
+        }
+        match event {
+            Event::Members { update, backends } => self.members(now, update, backends),
+            Event::Request(arrival) => self.request(now, arrival),
+            Event::StreamStarted { request, attempt } => {
+                if let Some(r) = self.requests.get_mut(&request) {
+                    r.streaming |= r.sent.get(attempt.0 as usize).is_some_and(|s| s.out);
+                }
+            }
+            Event::AttemptEnded(end) => self.ended(now, end),
+            Event::ClientGone { request } => self.close(request),
+            Event::Timer { token } if token != TimerToken(self.timer.0) => return,
+            Event::Timer { .. } => self.timer.1 = Time(u64::MAX),
+        }
+        if now >= self.look_at {
+            self.look_after(now);
+        }
+        self.pump(now);
+        if !self.held.is_empty() {
+            self.look_at = self.look_at.min(now + self.cfg.tick);
+        }
+        if self.look_at < self.timer.1 {
+            self.timer = (self.timer.0 + 1, self.look_at);
+            let after = (self.look_at - now).max(self.cfg.tick);
+            self.actions.push(Action::SetTimer { token: TimerToken(self.timer.0), after });
+        }
+        actions.append(&mut self.actions);
+    }
+
+    fn members(&mut self, now: Time, update: ListUpdate, list: Vec<Backend>) {
+        match (update, self.cfg.discovery) {
+            // A lost subscription is asked for again, later each time and not in step with others.
+            (ListUpdate::Lost, Discovery::Subscribe(within)) => {
+                let wait = (self.ask.1 * 2.0).clamp(0.1, (within.secs() / 8.0).max(0.1));
+                self.ask = (Some(now + Micros::from_secs(wait * (0.5 + self.dice.unit()))), wait);
+                self.log(now, "discovery lost, asking again".into());
+            }
+            (ListUpdate::Changes | ListUpdate::Full, _) => self.ask = (None, 0.0),
+            _ => {}
+        }
+        if matches!(update, ListUpdate::Full | ListUpdate::Cached) {
+            let absent = |p: &&mut Peer| !list.iter().any(|b| b.id == p.entry.id);
+            self.peers.values_mut().filter(absent).for_each(|p| p.entry.state = BackendState::Gone);
+        }
+        for entry in list {
+            let p = self.peers.entry(entry.id).or_default();
+            if p.entry.booted != entry.booted {
+                // A restarted process has nothing in common with the old one but its address.
+                *p = Peer { out: p.out, spent: std::mem::take(&mut p.spent), ..Peer::default() };
+            }
+            p.entry = entry;
+        }
+        self.peers.retain(|_, p| p.entry.state != BackendState::Gone || p.out > 0);
+        self.order = self.peers.keys().copied().collect();
+        self.order.sort_by_key(|id| self.peers[id].entry.mark);
+        (self.solve_at, self.look_at) = (now, now);
+    }
+
+    fn request(&mut self, now: Time, new: Arrival) {
+        let Some(c) = self.cfg.classes.get(new.class.0) else { return };
+        if self.requests.contains_key(&new.request) {
+            return;
+        }
+        self.rate.add(now, 1.0);
+        self.extra = (self.extra + RETRY_RATIO).min(RETRY_RATIO * KIND_SAMPLES);
+        let tenant = new.tenant.and_then(|t| self.cfg.tenants.get(t.0).zip(self.buckets.get_mut(t.0)));
+        let part = |t: &Tenant| t.quota_per_s / f64::from(self.cfg.proxies);
+        let over_quota = tenant.is_some_and(|(t, bucket)| !bucket.take(now, part(t)));
+        let aim = c.aim.0 + new.work_hint.unwrap_or_default().times(c.aim_stretch).0;
+        let (aim, deadline) = (now + Micros(aim).min(new.time_left), now + new.time_left);
+        // A client that comes again waited for its first try: what is left to earn is mostly the late worth,
+        // and serving it before a new request would make both late, all through a storm of repeats.
+        let again = if new.repeat { c.late_worth } else { 1.0 };
+        let value = again * if over_quota { self.cfg.over_quota_worth } else { 1.0 };
+        let (class, came, streaming, sent) = (new.class.0, now, false, Vec::new());
+        self.requests.insert(new.request, Request { class, came, aim, deadline, value, streaming, sent });
+        self.held.push(new.request);
+    }
+
+    fn ended(&mut self, now: Time, end: AttemptEnd) {
+        let id = end.request;
+        let Some((backend, class, sent)) = self.attempts.remove(&(id, end.attempt)) else { return };
+        self.learn(now, backend, class, sent, &end);
+        let Some(r) = self.requests.get_mut(&id) else { return };
+        if let Some(s) = r.sent.get_mut(end.attempt.0 as usize) {
+            (s.out, s.never_ran) = (false, end.outcome.never_ran());
+        }
+        if end.settled || end.outcome == Outcome::Ok {
+            self.close(id);
+        } else if !r.out() && !self.held.contains(&id) {
+            self.held.push(id); // `pump` sends it again or gives it up
+        }
+    }
+
+    /// What an outcome says of the backend, its kind and its class.
+    fn learn(&mut self, now: Time, id: BackendId, class: usize, sent: Time, end: &AttemptEnd) {
+        let Some(p) = self.peers.get_mut(&id) else { return };
+        p.out = p.out.saturating_sub(1);
+        match end.outcome {
+            Outcome::Ok => {
+                // Served requests only: errors, time-outs and refusals stay out of the speeds.
+                let secs = end.latency.secs().max(1e-6);
+                self.classes[class].latency.add(secs, KIND_SAMPLES);
+                self.overall.add(secs, KIND_SAMPLES);
+                let plain = secs * self.overall.value / self.classes[class].latency.value;
+                self.kinds.entry(p.entry.kind).or_default().latency.add(plain, KIND_SAMPLES);
+                p.answered = now;
+                p.errors *= 1.0 - ERROR_STEP;
+                p.trials += 1;
+                if p.ejected.is_none() {
+                    p.strikes = 0;
+                } else if p.trials >= TRIALS {
+                    (p.ejected, p.errors) = (None, 0.0);
+                    self.log(now, format!("backend {} is back", id.0));
+                }
+            }
+            // A full backend answers, and is left alone for a moment: busy is not ill.
+            Outcome::Full => p.full_until = now + Micros::from_secs(EJECT_TERM / 2.0),
+            Outcome::Cancelled | Outcome::NeverSent => {}
+            // A heavy request alone is no illness: other answers came back meanwhile.
+            Outcome::TimedOut if p.answered >= sent => {}
+            Outcome::Error => {
+                p.answered = now;
+                p.errors += (1.0 - p.errors) * ERROR_STEP;
+                if p.errors > ERROR_LIMIT || p.ejected.is_some() {
+                    self.eject(now, id, end.outcome);
+                }
+            }
+            _ => self.eject(now, id, end.outcome),
+        }
+    }
+
+    fn eject(&mut self, now: Time, id: BackendId, why: Outcome) {
+        let term = EJECT_TERM * (0.75 + 0.5 * self.dice.unit());
+        let Some(p) = self.peers.get_mut(&id) else { return };
+        if p.ejected.is_none_or(|until| now >= until) {
+            p.ejected = Some(now + Micros::from_secs(term * f64::from(p.strikes.min(2)).exp2()));
+            (p.strikes, p.trials, p.ready) = (p.strikes + 1, 0, 0.0);
+            self.look_at = now;
+            self.log(now, format!("backend {} ejected: {why:?}", id.0));
+        }
+    }
+
+    /// What time alone brings about, and when to look again.
+    fn look_after(&mut self, now: Time) {
+        let mut next = now + Micros::from_secs(CROWD_MEMORY); // nothing else may be due
+        if let (Some(at), Discovery::Subscribe(within)) = (self.ask.0, self.cfg.discovery) {
+            if now >= at {
+                self.ask.0 = Some(now + within.times(0.5)); // unanswered so long, the call itself was lost
+                self.actions.push(Action::Follow);
+            }
+        }
+        next = self.ask.0.map_or(next, |at| next.min(at));
+        self.peers.values_mut().for_each(|p| p.silent = false);
+        for &(backend, class, sent) in self.attempts.values() {
+            let quiet = sent + self.usual(class).times(SILENT_AFTER);
+            next = if quiet > now { next.min(quiet) } else { next };
+            let peer = self.peers.get_mut(&backend).filter(|p| now >= quiet && p.answered <= sent);
+            peer.into_iter().for_each(|p| p.silent = true);
+        }
+        let mut over = Vec::new();
+        for (&id, r) in self.requests.iter().filter(|(_, r)| !r.streaming) {
+            let usual = self.usual(r.class);
+            let late_pays = self.cfg.classes[r.class].late_worth > 0.0 && !r.sent.is_empty();
+            let last_start = if late_pays { r.deadline } else { r.aim };
+            let lost = |s: &Sent| s.out && self.peers.get(&s.to.id).is_none_or(|p| p.ejected.is_some());
+            let lost = matches!(&r.sent[..], [only] if lost(only));
+            // The deadline's own tick would be too late to answer; a request that was held so long
+            // that it cannot make it is refused while that is still harmless.
+            let last_start = if r.out() { r.deadline } else { last_start.min(r.deadline) };
+            let margin = if r.out() { self.cfg.tick } else { usual.max(self.cfg.tick) };
+            if now + margin >= last_start {
+                over.push(id);
+            } else if lost && now + usual < r.aim && self.extra >= 1.0 {
+                // Age alone is no reason: copies of merely heavy requests crowd every backend.
+                if self.cfg.second_copies {
+                    if self.may_send(now, r) && !self.held.contains(&id) {
+                        self.held.push(id);
+                    }
+                } else if self.cfg.cancel && self.cfg.classes[r.class].effect != Effect::Unsafe {
+                    // Where no copy may run beside it, the first is called back to make way for the next.
+                    self.actions.push(Action::Cancel { request: id, attempt: AttemptNo(0) });
+                }
+            }
+            next = next.min(last_start - margin);
+        }
+        self.look_at = next.max(now + self.cfg.tick);
+        over.into_iter().for_each(|id| self.give_up(id));
+    }
+
+    /// What a served request of the class usually takes; before any was served, a quarter of its aim.
+    fn usual(&self, class: usize) -> Micros {
+        let known = self.classes[class].latency.get();
+        known.map_or(self.cfg.classes[class].aim.times(0.25), Micros::from_secs)
+    }
+
+    /// A class's work beside the mean, so far as latency tells it.
+    fn work(&self, class: usize) -> f64 {
+        self.classes[class].latency.get().map_or(1.0, |own| own / self.overall.value)
+    }
+
+    /// Readiness of every backend, speed and share of every kind.
+    fn solve(&mut self, now: Time) {
+        let few = FEW / self.rate.per_s().unwrap_or(FEW / SOLVE_EVERY).max(1.0);
+        self.solve_at = now + Micros::from_secs(SOLVE_EVERY.max(few));
+        self.blocked = 0.0;
+        let listed = self.peers.values().filter(|p| p.entry.state == BackendState::Ready);
+        let (all, out) = listed.fold((0.0, 0.0), |n, p| (n.0 + 1.0, n.1 + f64::from(p.ejected.is_some())));
+        let proxies = f64::from(self.cfg.proxies);
+        self.kinds.values_mut().for_each(|k| k.ready = 0.0);
+        for p in self.peers.values_mut() {
+            let k = self.kinds.entry(p.entry.kind).or_default();
+            let health = match p.ejected {
+                _ if p.entry.state != BackendState::Ready => 0.0,
+                Some(_) => f64::from(out > all * PANIC),
+                None => 1.0 - p.errors,
+            };
+            p.ready = health * warmth(&self.cfg, now, &p.entry);
+            k.ready += p.ready;
+        }
+        self.rate.add(now, 0.0);
+        let rate = self.rate.per_s().map(|r| r * proxies);
+        for k in self.kinds.values_mut() {
+            let flow = if k.ready > 0.0 { rate.unwrap_or(0.0) * k.share / k.ready } else { 0.0 };
+            k.speed = k.latency.get().map_or(0.0, |t| 1.0 / t + flow);
+        }
+        let speeds = self.kinds.values().filter(|k| k.speed > 0.0).map(|k| k.speed);
+        let (sum, count) = speeds.fold((0.0, 0.0), |n, s| (n.0 + s, n.1 + 1.0));
+        let mean = if count > 0.0 { sum / count } else { 1.0 }; // kinds without data: as fast as the others
+        self.kinds.values_mut().filter(|k| k.speed == 0.0).for_each(|k| k.speed = mean);
+        let table: Vec<(f64, f64)> = self.kinds.values().map(|k| (k.ready, k.speed)).collect();
+        let shares = halb_shares(&table, rate.filter(|_| count > 0.0));
+        self.kinds.values_mut().zip(shares).for_each(|(k, share)| k.share = share);
+        self.allot();
+    }
+
+    /// Each backend's part of this proxy's traffic: its kind's share by readiness. Where crossing zones costs
+    /// traffic stays near so far as all proxies together still give every backend the same part: a zone
+    /// whose backends are due less than its proxies bring sends its surplus to the zones due more.
+    fn allot(&mut self) {
+        let proxies = f64::from(self.cfg.proxies);
+        let part = |kinds: &BTreeMap<KindId, Kind>, p: &Peer| {
+            kinds.get(&p.entry.kind).map_or(0.0, |k| k.share * p.ready / k.ready.max(1e-9))
+        };
+        let mut due: BTreeMap<ZoneId, f64> = BTreeMap::new();
+        let ready = self.peers.values().filter(|p| p.ready > 0.0);
+        ready.for_each(|p| *due.entry(p.entry.zone).or_default() += part(&self.kinds, p));
+        let zones = due.len() as f64;
+        let rich: f64 = due.values().map(|d| (d * zones - 1.0).max(0.0)).sum();
+        let own = due.get(&self.cfg.zone).copied().unwrap_or(0.0);
+        self.kinds.values_mut().for_each(|k| (k.pull, k.walked) = (0.0, 0.0));
+        let mut reached = 0.0;
+        for p in self.peers.values_mut() {
+            let here = due.get(&p.entry.zone).map_or(0.0, |d| d.max(1e-9));
+            let far = (1.0 - own * zones).max(0.0) * (here * zones - 1.0).max(0.0) / rich.max(1e-9);
+            let near = if p.entry.zone == self.cfg.zone { (own * zones).min(1.0) } else { far };
+            let bias = if self.cfg.cross_zone_cost > 0.0 && here > 0.0 { near / here } else { 1.0 };
+            // Half of the room for all goes by that part, half evenly; each has a room of one at least, as
+            // more proxies than the hold would wait for turns. There `crowded` keeps the hold.
+            let turn = p.entry.mark.wrapping_add(u64::from(self.cfg.position));
+            let coin = ((turn % u64::from(self.cfg.proxies)) as f64 + 0.5) / proxies;
+            let fair = HOLD / proxies * p.ready;
+            p.room = (fair * (0.5 + 0.5 * bias) + coin).floor().max(1.0);
+            // The trace takes the overflow where all that have a part are full.
+            let drawn = part(&self.kinds, p) * bias;
+            p.pull = drawn + p.ready * 1e-6;
+            reached += f64::from(drawn > 0.0);
+            self.kinds.entry(p.entry.kind).or_default().pull += p.pull;
+        }
+        // This proxy's slice of each kind: the same width for all, begun at evenly spread places, so that all
+        // slices together cover every backend by its pull.
+        let width = (SHARED_BY / proxies * self.peers.len() as f64 / reached.max(1.0)).min(1.0);
+        let start = (f64::from(self.cfg.position) * 0.618_033_988_749_895).fract();
+        for id in &self.order {
+            let Some(p) = self.peers.get_mut(id) else { continue };
+            let k = self.kinds.entry(p.entry.kind).or_default();
+            let from = k.walked / k.pull.max(1e-9);
+            k.walked += p.pull;
+            let to = k.walked / k.pull.max(1e-9);
+            let inside = |start: f64| (to.min(start + width) - from.max(start)).max(0.0);
+            p.slice = inside(start) + inside(start - 1.0);
+        }
+    }
+
+    /// Work that this proxy may still send to a cold backend inside the present fall window.
+    fn budget(&self, now: Time, p: &Peer) -> f64 {
+        let warmth = warmth(&self.cfg, now - self.cfg.fall_window, &p.entry); // as the window began
+        if warmth >= 1.0 {
+            return f64::MAX;
+        }
+        let proxies = f64::from(self.cfg.proxies);
+        let fair = self.rate.per_s().unwrap_or(1.0) * proxies / self.peers.len() as f64;
+        // Against few ready backends the speed formula overshoots; twice the bare 1/T is sure.
+        let sure = |k: &Kind| k.latency.get().map(|t| k.speed.min(2.0 / t));
+        let speed = self.kinds.get(&p.entry.kind).and_then(sure).unwrap_or(fair);
+        let spent: f64 = p.spent.iter().filter(|s| now - s.0 < self.cfg.fall_window).map(|s| s.1).sum();
+        let all = self.cfg.fall_multiple * warmth * speed * self.cfg.fall_window.secs() / proxies;
+        (all * FALL_MARGIN).max(1.0) - spent
+    }
+
+    fn may_send(&self, now: Time, r: &Request) -> bool {
+        let safe = |s: &Sent| match self.cfg.classes[r.class].effect {
+            Effect::Free => true,
+            Effect::Keyed(_, window) => s.never_ran || now + self.cfg.tick < s.at + window,
+            Effect::Unsafe => s.never_ran,
+        };
+        let alone = self.cfg.second_copies || !r.out();
+        alone && r.sent.len() < self.cfg.max_attempts as usize && r.sent.iter().all(safe)
+    }
+
+    /// A backend for the request: kind by share, backend inside it by readiness, both at random.
+    fn draw(&mut self, now: Time, r: &Request) -> Option<BackendId> {
+        let effect = self.cfg.classes[r.class].effect;
+        let work = self.work(r.class);
+        let any_free = self.cfg.classes.iter().any(|c| c.effect == Effect::Free);
+        let may_try = r.sent.is_empty() && (effect == Effect::Free || !any_free);
+        let mut open: Vec<(BackendId, KindId, f64)> = Vec::new();
+        for (&b, p) in &self.peers {
+            // A repeat outside the scope that knows the key would run twice.
+            let known = |s: &Sent| match effect {
+                Effect::Keyed(KeyScope::Zone, _) => s.never_ran || s.to.zone == p.entry.zone,
+                Effect::Keyed(KeyScope::Cell, _) => s.never_ran || s.to.cell == p.entry.cell,
+                _ => true,
+            };
+            let fresh = r.sent.iter().all(|s| s.to.id != b && known(s));
+            let idle = p.silent || now < p.full_until;
+            if p.entry.state != BackendState::Ready || idle || !fresh || self.budget(now, p) < work {
+                continue;
+            }
+            if let (Some(until), true) = (p.ejected, p.ready == 0.0) {
+                // Its term is over: one request at a time that may fail without harm tries it.
+                if now >= until && may_try && p.out == 0 {
+                    return Some(b);
+                }
+            } else if p.ready > 0.0 {
+                // Never overfill: a crowded backend slows for long, so a full one is drawn again.
+                let room = if r.value < LOW { (p.room / 2.0).ceil() } else { p.room };
+                if f64::from(p.out) < room {
+                    open.push((b, p.entry.kind, p.slice + p.pull * 1e-6)); // the rest: a last resort
+                }
+            }
+        }
+        let some = |k: &KindId| open.iter().any(|o| o.1 == *k);
+        let kinds: Vec<_> = self.kinds.iter().filter(|k| some(k.0)).map(|(k, v)| (*k, v.pull)).collect();
+        let kind = self.dice.pick(&kinds)?;
+        let inside: Vec<(BackendId, f64)> = open.iter().filter(|o| o.1 == kind).map(|o| (o.0, o.2)).collect();
+        self.dice.pick(&inside)
+    }
+
+    /// Whether all proxies together hold too much, as far as one tells that has no room to count: it takes
+    /// the others to be like itself. With load / (1 - load) held, twice the hold is a load of eight ninths,
+    /// half of it two thirds. Turned away at once does no harm; waiting here would make no room.
+    fn crowded(&self, value: f64) -> bool {
+        let proxies = f64::from(self.cfg.proxies);
+        let ready: f64 = self.kinds.values().map(|k| k.ready).sum();
+        let limit = if value < LOW { HOLD / 2.0 } else { HOLD * 2.0 };
+        let held = self.crowd.per_s().unwrap_or(0.0) * proxies;
+        proxies > HOLD && held > limit * ready
+    }
+
+    /// Sends what is held, the densest worth first and the newest first inside it.
+    fn pump(&mut self, now: Time) {
+        if self.held.is_empty() || self.blocked == f64::MAX {
+            return;
+        }
+        let mut line: Vec<(f64, Time, RequestId, f64)> = Vec::new();
+        for id in std::mem::take(&mut self.held) {
+            if let Some(r) = self.requests.get(&id) {
+                let value = if r.sent.is_empty() { r.value } else { f64::MAX };
+                let density = self.cfg.classes[r.class].worth / self.work(r.class);
+                line.push((density * r.value, r.came, id, value));
+            }
+        }
+        line.sort_by(|a, b| b.0.total_cmp(&a.0).then(b.1.cmp(&a.1)).then(a.2.cmp(&b.2)));
+        for (_, _, id, value) in line {
+            if value < self.blocked {
+                self.held.push(id); // nothing less urgent finds room either, and trying each costs CPU
+                continue;
+            }
+            let Some(mut r) = self.requests.remove(&id) else { continue };
+            let (again, work) = (!r.sent.is_empty(), self.work(r.class));
+            let refused = !again && self.crowded(r.value);
+            let sendable = self.may_send(now, &r) && (!again || self.extra >= 1.0) && !refused;
+            let backend = if sendable { self.draw(now, &r) } else { None };
+            if let Some(p) = backend.and_then(|b| self.peers.get_mut(&b)) {
+                self.extra -= f64::from(again);
+                let (no, backend) = (AttemptNo(r.sent.len() as u32), p.entry.id);
+                r.sent.push(Sent { to: p.entry.clone(), at: now, out: true, never_ran: false });
+                p.out += 1;
+                p.spent.retain(|s| now - s.0 < self.cfg.fall_window);
+                p.spent.push((now, work));
+                self.attempts.insert((id, no), (backend, r.class, now));
+                self.actions.push(Action::Dispatch { request: id, backend });
+                let quiet = now + self.usual(r.class).times(SILENT_AFTER);
+                self.look_at = self.look_at.min(quiet).min(r.deadline - self.cfg.tick);
+            } else if sendable {
+                if !again {
+                    self.blocked = self.blocked.max(if r.value < LOW { LOW } else { f64::MAX });
+                }
+                self.held.push(id);
+            }
+            let over = !sendable && !r.out();
+            self.requests.insert(id, r);
+            over.then(|| self.give_up(id));
+        }
+    }
+
+    /// Final answer for a request that will not be served.
+    fn give_up(&mut self, id: RequestId) {
+        let Some(r) = self.requests.get(&id) else { return };
+        let free = matches!(self.cfg.classes[r.class].effect, Effect::Free | Effect::Keyed(KeyScope::All, _));
+        let harmless = free || r.sent.iter().all(|s| s.never_ran);
+        let (refused, failed) = (Action::Refuse { request: id }, Action::Fail { request: id });
+        self.actions.push(if harmless { refused } else { failed });
+        self.close(id);
+    }
+
+    fn close(&mut self, id: RequestId) {
+        let Some(r) = self.requests.remove(&id) else { return };
+        self.held.retain(|h| *h != id);
+        for (no, _) in r.sent.iter().enumerate().filter(|(_, s)| s.out && self.cfg.cancel) {
+            self.actions.push(Action::Cancel { request: id, attempt: AttemptNo(no as u32) });
+        }
+    }
+
+    /// A line for the operators, two a second at most.
+    fn log(&mut self, now: Time, text: String) {
+        if now >= self.log_at {
+            self.log_at = now + Micros(500_000);
+            self.actions.push(Action::Log(text));
+        }
+    }
+}
--- /dev/null
+++ b/src/state.rs
@@ -0,0 +1,194 @@
+//! What a proxy remembers: running estimates and plain records. No decisions.
+
+use crate::interface::*;
+use rand_core::{RngCore, SeedableRng};
+use rand_pcg::Pcg32;
+
+/// The proxy's own random numbers, the same on every machine for the same seed.
+pub(crate) struct Dice(Pcg32);
+
+impl Dice {
+    pub fn new(seed: u64) -> Dice {
+        Dice(Pcg32::seed_from_u64(seed))
+    }
+
+    /// Even from 0 up to 1.
+    pub fn unit(&mut self) -> f64 {
+        f64::from(self.0.next_u32()) / 4_294_967_296.0
+    }
+
+    /// One of the items, each with its weight.
+    pub fn pick<T: Copy>(&mut self, weighted: &[(T, f64)]) -> Option<T> {
+        let mut left = self.unit() * weighted.iter().map(|w| w.1).sum::<f64>();
+        let mut hit = |w: &&(T, f64)| {
+            left -= w.1;
+            left < 0.0
+        };
+        weighted.iter().find(&mut hit).or(weighted.last()).map(|w| w.0)
+    }
+}
+
+/// A mean over about the last `cap` samples.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct Mean {
+    pub value: f64,
+    pub count: f64,
+}
+
+impl Mean {
+    pub fn add(&mut self, sample: f64, cap: f64) {
+        self.count = (self.count + 1.0).min(cap);
+        self.value += (sample - self.value) / self.count;
+    }
+
+    pub fn get(&self) -> Option<f64> {
+        (self.count > 0.0).then_some(self.value)
+    }
+}
+
+/// Events a second over about the last `memory` seconds, unbiased from the start on.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Rate {
+    memory: f64,
+    events: f64,
+    seen: f64,
+    at: Option<Time>,
+}
+
+impl Rate {
+    pub fn new(memory: f64) -> Rate {
+        Rate { memory, events: 0.0, seen: 0.0, at: None }
+    }
+
+    /// Counts `level` for each second since the last call.
+    pub fn pass(&mut self, now: Time, level: f64) {
+        let gap = self.at.map_or(0.0, |at| (now - at).secs());
+        self.add(now, level * (1.0 - (-gap / self.memory).exp()) * self.memory);
+    }
+
+    /// Counts `events` at `now`; none just lets time pass.
+    pub fn add(&mut self, now: Time, events: f64) {
+        let gap = self.at.map_or(0.0, |at| (now - at).secs());
+        let fade = (-gap / self.memory).exp();
+        self.events = self.events * fade + events;
+        self.seen = self.seen * fade + (1.0 - fade) * self.memory;
+        self.at = Some(now);
+    }
+
+    /// `None` until a twentieth of the memory has passed.
+    pub fn per_s(&self) -> Option<f64> {
+        (self.seen > self.memory / 20.0).then(|| self.events / self.seen)
+    }
+}
+
+/// A tenant's quota: it holds what it is due over `memory` seconds, and starts with that; where that is
+/// less than `least` it may gather so much, as chance alone brings a few at once.
+pub(crate) struct Bucket {
+    memory: f64,
+    least: f64,
+    tokens: f64,
+    at: Option<Time>,
+}
+
+impl Bucket {
+    pub fn new(memory: f64, least: f64) -> Bucket {
+        Bucket { memory, least, tokens: 0.0, at: None }
+    }
+
+    /// Takes a token if there is one, at so many a second.
+    pub fn take(&mut self, now: Time, rate: f64) -> bool {
+        let due = rate * self.memory;
+        self.tokens = match self.at {
+            None => due.max(1.0),
+            Some(at) => (self.tokens + rate * (now - at).secs()).min(due.max(self.least)),
+        };
+        self.at = Some(now);
+        let within = self.tokens >= 1.0;
+        self.tokens -= f64::from(within);
+        within
+    }
+}
+
+/// What is learned of a kind of machine.
+#[derive(Default)]
+pub(crate) struct Kind {
+    /// Seconds from dispatch to answer, of served requests only, with the class mix taken out.
+    pub latency: Mean,
+    /// Sum of its backends' readiness.
+    pub ready: f64,
+    /// Requests a second that one backend could serve.
+    pub speed: f64,
+    /// Part of all proxies' traffic.
+    pub share: f64,
+    /// Part of this proxy's traffic.
+    pub pull: f64,
+    /// The pull of its backends passed so far, while slices are cut.
+    pub walked: f64,
+}
+
+/// What is known of a backend.
+#[derive(Default)]
+pub(crate) struct Peer {
+    pub entry: Backend,
+    /// From 0 (send nothing) to 1 (healthy and warm).
+    pub ready: f64,
+    /// Its part of this proxy's traffic.
+    pub pull: f64,
+    /// Its part of this proxy's slice of its kind.
+    pub slice: f64,
+    /// How many attempts of this proxy it may hold.
+    pub room: f64,
+    /// How many it holds.
+    pub out: u32,
+    /// Running share of error answers.
+    pub errors: f64,
+    /// When it last answered anything.
+    pub answered: Time,
+    /// It owes an answer for suspiciously long.
+    pub silent: bool,
+    /// Out of use, until this time at least.
+    pub ejected: Option<Time>,
+    /// Ejections without a good answer between them.
+    pub strikes: i32,
+    /// Good answers since the ejection.
+    pub trials: u32,
+    /// It was full and is left alone until then.
+    pub full_until: Time,
+    /// Work sent inside the fall window.
+    pub spent: Vec<(Time, f64)>,
+}
+
+/// What is learned of a class.
+#[derive(Default)]
+pub(crate) struct ClassState {
+    pub latency: Mean,
+}
+
+/// An attempt of a request.
+pub(crate) struct Sent {
+    pub to: Backend,
+    pub at: Time,
+    /// It has not ended yet.
+    pub out: bool,
+    /// Its outcome proves that it did not run.
+    pub never_ran: bool,
+}
+
+/// A request that is owed an answer.
+pub(crate) struct Request {
+    pub class: usize,
+    pub came: Time,
+    pub aim: Time,
+    pub deadline: Time,
+    /// Its worth beside a first try within quota.
+    pub value: f64,
+    pub streaming: bool,
+    pub sent: Vec<Sent>,
+}
+
+impl Request {
+    /// Some attempt has not ended yet.
+    pub fn out(&self) -> bool {
+        self.sent.iter().any(|s| s.out)
+    }
+}
--- /dev/null
+++ b/tests/invariants.rs
@@ -0,0 +1,154 @@
+//! The rules as invariants over generated sequences of events; `common::Host` checks each action.
+
+mod common;
+use common::{backend, class, Host};
+use lanefront::*;
+use proptest::prelude::*;
+use proptest::test_runner::{RngAlgorithm, TestRng, TestRunner};
+
+#[derive(Clone, Debug)]
+enum Step {
+    Arrive(usize, u64, Option<usize>),
+    End(usize, Outcome),
+    Stream(usize),
+    Gone(usize),
+    Pass(u64),
+    Member(u32, BackendState, bool),
+    Relist(u32, ListUpdate),
+    Nonsense(u64, u32, u64),
+}
+
+fn outcome() -> impl Strategy<Value = Outcome> {
+    prop_oneof![
+        8 => Just(Outcome::Ok),
+        1 => Just(Outcome::Error),
+        1 => Just(Outcome::Full),
+        1 => Just(Outcome::TimedOut),
+        1 => Just(Outcome::ConnectFailed),
+        1 => Just(Outcome::Reset),
+        1 => Just(Outcome::NeverSent),
+    ]
+}
+
+fn step() -> impl Strategy<Value = Step> {
+    let state = prop_oneof![
+        3 => Just(BackendState::Ready),
+        1 => Just(BackendState::Draining),
+        1 => Just(BackendState::Gone)
+    ];
+    let update = prop_oneof![Just(ListUpdate::Full), Just(ListUpdate::Cached), Just(ListUpdate::Lost)];
+    prop_oneof![
+        10 => (0..6usize, 0..2_000_000u64, proptest::option::of(0..2usize)).prop_map(|(c, l, t)| Step::Arrive(c, l, t)),
+        8 => (0..64usize, outcome()).prop_map(|(n, o)| Step::End(n, o)),
+        1 => (0..64usize).prop_map(Step::Stream),
+        1 => (0..64usize).prop_map(Step::Gone),
+        8 => (0..150_000u64).prop_map(Step::Pass),
+        2 => (0..8u32, state, any::<bool>()).prop_map(|(b, s, r)| Step::Member(b, s, r)),
+        1 => (0..256u32, update).prop_map(|(m, u)| Step::Relist(m, u)),
+        1 => (0..200u64, 0..9u32, any::<u64>()).prop_map(|(r, a, t)| Step::Nonsense(r, a, t)),
+    ]
+}
+
+fn config(bits: u32) -> Config {
+    let window = Micros(300_000);
+    let mut cfg = Config::example();
+    cfg.classes = vec![
+        class(Effect::Free),
+        Class { late_worth: 0.3, worth: 5.0, ..class(Effect::Unsafe) },
+        class(Effect::Keyed(KeyScope::Zone, window)),
+        class(Effect::Keyed(KeyScope::Cell, window)),
+        class(Effect::Keyed(KeyScope::All, window)),
+        Class { aim: Micros(100_000), ..class(Effect::Free) },
+    ];
+    cfg.tenants = vec![Tenant { quota_per_s: 20.0 }, Tenant { quota_per_s: 5.0 }];
+    cfg.goal_worst_class = 0.3;
+    cfg.second_copies = bits & 1 == 0;
+    cfg.proxies = if bits & 2 == 0 { 3 } else { 40 };
+    cfg.cancel = bits & 4 == 0;
+    cfg.cross_zone_cost = if bits & 16 == 0 { 0.05 } else { 0.0 };
+    if bits & 8 == 0 {
+        cfg.discovery = Discovery::Subscribe(Micros(2_000_000));
+    }
+    cfg
+}
+
+/// Plays the steps and returns every action as text, for the test of repeatability.
+fn play(bits: u32, seed: u64, steps: &[Step]) -> Vec<String> {
+    let mut host = Host::new(config(bits), seed);
+    let mut trace = Vec::new();
+    let fleet = |mask: u32| (0..8).filter(|i| mask >> i & 1 == 1).map(|i| backend(i, i % 3, i % 2)).collect();
+    host.members(ListUpdate::Cached, fleet(0b0111_1011));
+    for step in steps {
+        match *step {
+            Step::Arrive(c, left, t) => {
+                host.arrive_for(c, left, t.map(TenantId));
+            }
+            Step::End(n, o) => {
+                if let Some((id, no)) = nth(&host.out(), n) {
+                    host.end(id, no, o);
+                }
+            }
+            Step::Stream(n) => {
+                if let Some((id, no)) = nth(&host.out(), n) {
+                    host.start_stream(id, no);
+                }
+            }
+            Step::Gone(n) => {
+                let open: Vec<RequestId> =
+                    host.requests.iter().filter(|(_, r)| r.answer.is_none()).map(|(id, _)| *id).collect();
+                if let Some(id) = nth(&open, n) {
+                    host.requests.get_mut(&id).unwrap().answer = Some("left");
+                    host.event(Event::ClientGone { request: id });
+                }
+            }
+            Step::Pass(span) => host.advance(span),
+            Step::Member(b, state, restarted) => {
+                let booted = restarted.then_some(host.now);
+                host.members(
+                    ListUpdate::Changes,
+                    vec![Backend { state, booted, ..backend(b, b % 3, b % 2) }],
+                );
+            }
+            Step::Relist(_, ListUpdate::Lost) => host.members(ListUpdate::Lost, Vec::new()),
+            Step::Relist(mask, update) => host.members(update, fleet(mask)),
+            Step::Nonsense(r, a, t) => {
+                host.nonsense(RequestId(1_000_000 + r), AttemptNo(a), TimerToken(t));
+            }
+        }
+        trace.push(format!("{:?}", host.last));
+    }
+    host.advance(3_000_000);
+    let answered = |r: &common::Open| r.answer.is_some() || r.streaming;
+    assert!(host.requests.values().all(answered), "a request was left without an answer");
+    trace
+}
+
+/// Some item of the list, if it holds any.
+fn nth<T: Copy>(list: &[T], n: usize) -> Option<T> {
+    list.get(n % list.len().max(1)).copied()
+}
+
+fn runner(cases: u32) -> TestRunner {
+    let config = ProptestConfig { cases, failure_persistence: None, ..ProptestConfig::default() };
+    TestRunner::new_with_rng(config, TestRng::from_seed(RngAlgorithm::ChaCha, &[7; 32]))
+}
+
+#[test]
+fn rules_hold_over_generated_events() {
+    let all = (0..32u32, any::<u64>(), proptest::collection::vec(step(), 1..250));
+    let run = runner(300).run(&all, |(bits, seed, steps)| {
+        play(bits, seed, &steps);
+        Ok(())
+    });
+    run.unwrap();
+}
+
+#[test]
+fn the_same_events_give_the_same_actions() {
+    let all = (0..32u32, any::<u64>(), proptest::collection::vec(step(), 1..120));
+    let run = runner(40).run(&all, |(bits, seed, steps)| {
+        prop_assert_eq!(play(bits, seed, &steps), play(bits, seed, &steps));
+        Ok(())
+    });
+    run.unwrap();
+}
--- /dev/null
+++ b/tests/size.rs
@@ -0,0 +1,12 @@
+//! The operators review the decision module in an hour: its size is bounded.
+
+#[test]
+fn the_decision_module_stays_reviewable() {
+    let text = std::fs::read_to_string(concat!(env!("CARGO_MANIFEST_DIR"), "/src/rules.rs")).unwrap();
+    let lines = text.lines().filter(|l| !l.trim().is_empty()).count();
+    assert!((100..=550).contains(&lines), "{lines} lines");
+    for (number, line) in text.lines().enumerate() {
+        assert!(line.chars().count() <= 110, "line {} is too wide", number + 1);
+    }
+    assert!(text.lines().take(3).any(|l| l.contains("src/interface.rs")), "the interface is named first");
+}
