--- a/src/bin/lanefront-benchlink/main.rs
+++ b/src/bin/lanefront-benchlink/main.rs
@@ -2,7 +2,6 @@
 //! Translation only; every decision is the library's.
 #![forbid(unsafe_code)]
 
-mod settings;
 mod wire;
 
 use std::io::{BufRead, Write};
--- a/src/bin/lanefront-benchlink/wire.rs
+++ b/src/bin/lanefront-benchlink/wire.rs
@@ -1,6 +1,6 @@
 //! Lines to events, actions to lines.
 
-use crate::settings::{Names, Row};
+use lanefront::settings::{Names, Row};
 use lanefront::*;
 use serde_json::Value;
 use std::collections::HashMap;
@@ -114,7 +114,7 @@
                     return Err(f.bad(0, "a roster number from 0 to 15"));
                 }
                 let rows = f.values[1].as_array().ok_or_else(|| f.bad(1, "an array of entries"))?;
-                let rows: Result<Vec<Row>, String> = rows.iter().map(Row::read).collect();
+                let rows: Result<Vec<Row>, String> = rows.iter().map(row).collect();
                 self.rosters.insert(id, rows?);
                 return Ok(false);
             }
@@ -146,7 +146,7 @@
             return Err(f.bad(0, "an instance such as proxy-3"));
         }
         let seed = f.whole(1, "a seed")?;
-        let made = crate::settings::read(&f.values[2]).and_then(|(config, names)| {
+        let made = lanefront::settings::read(&f.values[2]).and_then(|(config, names)| {
             Balancer::new(config, seed).map(|b| (b, names)).map_err(|e| e.to_string())
         });
         let instance = match made {
@@ -221,6 +221,35 @@
     }))
 }
 
+/// One entry of a list: an array in the order of the wire's page.
+fn row(row: &Value) -> Result<Row, String> {
+    let bad = |what: &str| format!("list entry {row}: expected {what}");
+    let row = row.as_array().filter(|r| r.len() == 7).ok_or_else(|| bad("an array of 7 values"))?;
+    let text = |at: usize, what| row[at].as_str().ok_or_else(|| bad(what));
+    let address = text(3, "an address")?;
+    let plain = |b: u8| b.is_ascii_graphic() && b != b'"' && b != b'\\';
+    if address.is_empty() || !address.bytes().all(plain) {
+        return Err(bad("a plain address"));
+    }
+    let state = match text(4, "IN, LAME or OUT")? {
+        "IN" => BackendState::Ready,
+        "LAME" => BackendState::Draining,
+        "OUT" => BackendState::Gone,
+        _ => return Err(bad("IN, LAME or OUT")),
+    };
+    let booted = match &row[6] {
+        Value::Null => None,
+        v => Some(v.as_u64().ok_or_else(|| bad("a start time or null"))?),
+    };
+    let entry = Backend {
+        cell: CellId(row[1].as_u64().ok_or_else(|| bad("a cell number"))?),
+        state,
+        booted: booted.filter(|t| *t > 0).map(Time),
+        ..Backend::default()
+    };
+    Ok(Row::new(address, address, text(0, "a zone")?, text(2, "a kind")?, entry))
+}
+
 fn put(reply: &mut Vec<u8>, value: &Value) {
     let _ = writeln!(reply, "{value}");
 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -7,6 +7,7 @@
 
 mod interface;
 mod rules;
+pub mod settings;
 mod state;
 
 pub use interface::*;
--- /dev/null
+++ b/src/main.rs
@@ -0,0 +1,79 @@
+//! The proxy: configuration, logging, signals and start-up.
+#![forbid(unsafe_code)]
+
+mod net;
+
+use lanefront::{Balancer, ListUpdate};
+use net::config::{Node, NodeError};
+use net::host::Host;
+use net::server::{Rules, Server};
+use net::upstream::Pool;
+use net::{discovery, server, Clock};
+use std::process::ExitCode;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::signal::unix::{signal, SignalKind};
+use tracing::info;
+
+/// Descriptors that are kept for all but clients and upstreams.
+const RESERVE: usize = 64;
+const REPORT_EVERY: Duration = Duration::from_secs(5);
+
+fn main() -> ExitCode {
+    let level = std::env::var("NODE_LOG").ok().and_then(|l| l.parse().ok()).unwrap_or(tracing::Level::INFO);
+    tracing_subscriber::fmt().with_writer(std::io::stderr).with_ansi(false).with_max_level(level).init();
+    let outcome = Node::read().map_err(|e| e.to_string()).and_then(|node| {
+        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+        let local = tokio::task::LocalSet::new();
+        local.block_on(&runtime.map_err(|e| format!("no event loop: {e}"))?, run(node))
+    });
+    match outcome {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(text) => {
+            eprintln!("lanefront: {text}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+async fn run(node: Node) -> Result<(), String> {
+    let clock = Clock::new();
+    let mut term = signal(SignalKind::terminate()).map_err(|e| format!("no signals: {e}"))?;
+    let mut interrupt = signal(SignalKind::interrupt()).map_err(|e| format!("no signals: {e}"))?;
+    let room = node.sockets.saturating_sub(RESERVE).max(2);
+    let pool = Rc::new(Pool::new(&node.network, room / 2));
+    let mode = node.config.discovery;
+    let rules = Rules {
+        effects: node.config.classes.iter().map(|c| c.effect).collect(),
+        deadlines: node.network.deadlines,
+    };
+    let balancer =
+        Balancer::new(node.config, node.seed).map_err(|e| NodeError::Settings(e.to_string()).to_string())?;
+    let host = Host::new(balancer, node.names, clock, pool.clone());
+    // The list from before the restart is in place before anything is served.
+    host.members(ListUpdate::Cached, &node.known);
+    let listener =
+        server::listen(node.listen).map_err(|e| format!("cannot listen on {}: {e}", node.listen))?;
+    info!("{} listens on {}, {} backends known", node.name, node.listen, node.known.endpoints.len());
+    tokio::task::spawn_local(host.clone().timers());
+    tokio::task::spawn_local(pool.sweep());
+    tokio::task::spawn_local(discovery::watch(host.clone(), node.discovery, node.known.index, mode));
+    let server = Server::new(host.clone(), rules, room - room / 2);
+    let reporter = server.clone();
+    tokio::task::spawn_local(async move {
+        loop {
+            tokio::time::sleep(REPORT_EVERY).await;
+            host.report(reporter.clients());
+        }
+    });
+    let stop = async {
+        tokio::select! {
+            _ = term.recv() => {}
+            _ = interrupt.recv() => {}
+        }
+        info!("stopping");
+    };
+    server.run(listener, stop).await;
+    info!("stopped");
+    Ok(())
+}
--- /dev/null
+++ b/src/net/host.rs
@@ -0,0 +1,384 @@
+//! The decision module's host and sole owner: events go in, actions are carried out.
+
+use super::discovery::List;
+use super::upstream::{Call, Ended, Pool, Served};
+use super::Clock;
+use lanefront::settings::Names;
+use lanefront::*;
+use std::cell::{Cell, RefCell};
+use std::cmp::Reverse;
+use std::collections::{BinaryHeap, HashMap, VecDeque};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use tokio::sync::{oneshot, Notify};
+use tokio::task::AbortHandle;
+use tracing::{debug, info, warn};
+
+/// Kept of the client's time for the answer's way back, on top of how late timers were seen to fire.
+const MARGIN: Micros = Micros(3_000);
+const MOST_MARGIN: Micros = Micros(20_000);
+
+/// The final answer to a request.
+pub enum Answer {
+    Served(Served),
+    Refused,
+    Failed,
+    TimedOut,
+}
+
+struct Live {
+    call: Rc<Call>,
+    answer: oneshot::Sender<Answer>,
+    deadline: Time,
+    attempts: u32,
+}
+
+struct Flight {
+    backend: BackendId,
+    sent: Time,
+    task: AbortHandle,
+}
+
+struct Known {
+    address: SocketAddr,
+    state: BackendState,
+}
+
+/// What happened since the last line about it.
+#[derive(Default)]
+struct Counts {
+    requests: u64,
+    served: u64,
+    refused: u64,
+    failed: u64,
+    timed_out: u64,
+    gone: u64,
+    attempts: u64,
+    full: u64,
+    errors: u64,
+    resets: u64,
+    unconnected: u64,
+    unsent: u64,
+}
+
+struct State {
+    balancer: Balancer,
+    names: Names,
+    numbers: HashMap<String, BackendId>,
+    backends: Vec<Known>,
+    requests: HashMap<RequestId, Live>,
+    attempts: HashMap<(RequestId, AttemptNo), Flight>,
+    timers: BinaryHeap<Reverse<(Time, TimerToken)>>,
+    events: VecDeque<Event>,
+    actions: Vec<Action>,
+    last: u64,
+    counts: Counts,
+}
+
+pub struct Host {
+    state: RefCell<State>,
+    pub clock: Clock,
+    pub pool: Rc<Pool>,
+    sooner: Notify,
+    follow: Notify,
+    /// How late timers fire: the largest of late, fading.
+    lag: Cell<u64>,
+}
+
+impl Host {
+    pub fn new(balancer: Balancer, names: Names, clock: Clock, pool: Rc<Pool>) -> Rc<Host> {
+        let state = State {
+            balancer,
+            names,
+            numbers: HashMap::new(),
+            backends: Vec::new(),
+            requests: HashMap::new(),
+            attempts: HashMap::new(),
+            timers: BinaryHeap::new(),
+            events: VecDeque::new(),
+            actions: Vec::new(),
+            last: 0,
+            counts: Counts::default(),
+        };
+        let (sooner, follow) = (Notify::new(), Notify::new());
+        Rc::new(Host { state: RefCell::new(state), clock, pool, sooner, follow, lag: Cell::new(0) })
+    }
+
+    pub fn class(&self, name: &str) -> Option<ClassId> {
+        self.state.borrow().names.class(name)
+    }
+
+    pub fn tenant(&self, name: &str) -> Option<TenantId> {
+        self.state.borrow().names.tenant(name)
+    }
+
+    /// What is held back of a client's time.
+    pub fn margin(&self) -> Micros {
+        Micros((MARGIN.0 + self.lag.get()).min(MOST_MARGIN.0))
+    }
+
+    /// Takes a request; `arrival.request` is given here.
+    pub fn request(
+        self: &Rc<Self>, mut arrival: Arrival, call: Call,
+    ) -> (RequestId, oneshot::Receiver<Answer>) {
+        let (answer, wait) = oneshot::channel();
+        let id = {
+            let mut s = self.state.borrow_mut();
+            s.last += 1;
+            let id = RequestId(s.last);
+            let deadline = self.clock.now() + arrival.time_left;
+            s.requests.insert(id, Live { call: Rc::new(call), answer, deadline, attempts: 0 });
+            s.counts.requests += 1;
+            id
+        };
+        arrival.request = id;
+        self.tell(Event::Request(arrival));
+        (id, wait)
+    }
+
+    /// The client left before its answer.
+    pub fn client_gone(self: &Rc<Self>, id: RequestId) {
+        {
+            let mut s = self.state.borrow_mut();
+            if s.requests.remove(&id).is_none() {
+                return;
+            }
+            s.counts.gone += 1;
+        }
+        self.tell(Event::ClientGone { request: id });
+        self.drop_attempts(id);
+    }
+
+    /// The request's time is up. Attempts that are out have timed out, on which the module gives its final
+    /// answer; should it stay silent, the request still gets one.
+    pub fn deadline(self: &Rc<Self>, id: RequestId) {
+        for no in self.attempts_of(id) {
+            self.attempt_ended(id, no, (Outcome::TimedOut, None));
+        }
+        let live = self.state.borrow_mut().requests.remove(&id);
+        if let Some(live) = live {
+            warn!("no decision on request {} by its deadline, {} attempts", id.0, live.attempts);
+            self.state.borrow_mut().counts.timed_out += 1;
+            let _ = live.answer.send(Answer::TimedOut);
+            self.tell(Event::ClientGone { request: id });
+            self.drop_attempts(id);
+        }
+    }
+
+    fn attempts_of(&self, id: RequestId) -> Vec<AttemptNo> {
+        let s = self.state.borrow();
+        let count = s.requests.get(&id).map_or(0, |r| r.attempts);
+        (0..count).map(AttemptNo).filter(|no| s.attempts.contains_key(&(id, *no))).collect()
+    }
+
+    /// For a module that may not cancel: nothing goes on for a client that left.
+    fn drop_attempts(self: &Rc<Self>, id: RequestId) {
+        let left: Vec<AttemptNo> = {
+            let s = self.state.borrow();
+            s.attempts.keys().filter(|k| k.0 == id).map(|k| k.1).collect()
+        };
+        left.into_iter().for_each(|no| self.attempt_ended(id, no, (Outcome::Cancelled, None)));
+    }
+
+    /// News of the list.
+    pub fn members(self: &Rc<Self>, update: ListUpdate, list: &List) {
+        let entries = list.entries();
+        let mut backends = Vec::with_capacity(entries.len());
+        {
+            let mut s = self.state.borrow_mut();
+            let s = &mut *s;
+            let mut stale = Vec::new();
+            if matches!(update, ListUpdate::Full | ListUpdate::Cached) {
+                s.backends.iter_mut().for_each(|b| b.state = BackendState::Gone);
+            }
+            for e in entries {
+                let next = BackendId(s.backends.len() as u32);
+                let id = *s.numbers.entry(e.name.clone()).or_insert(next);
+                let known = Known { address: e.address, state: e.state };
+                match s.backends.get_mut(id.0 as usize) {
+                    Some(b) => *b = known,
+                    None => s.backends.push(known),
+                }
+                if update != ListUpdate::Cached {
+                    debug!("backend {} is {} {:?} at {}", id.0, e.name, e.state, e.address);
+                }
+                backends.push(s.names.entry(&e.row, id));
+            }
+            let ids = s.backends.iter().enumerate().filter(|(_, b)| b.state != BackendState::Ready);
+            stale.extend(ids.map(|(n, _)| BackendId(n as u32)));
+            stale.into_iter().for_each(|id| self.pool.close_idle(id));
+        }
+        self.tell(Event::Members { update, backends });
+    }
+
+    /// Until the module asks discovery for changes.
+    pub async fn followed(&self) {
+        self.follow.notified().await;
+    }
+
+    fn attempt_ended(self: &Rc<Self>, request: RequestId, attempt: AttemptNo, (outcome, served): Ended) {
+        let end = {
+            let mut s = self.state.borrow_mut();
+            let Some(flight) = s.attempts.remove(&(request, attempt)) else { return };
+            flight.task.abort(); // closes its connection, if it is still on one
+            match outcome {
+                Outcome::Full => s.counts.full += 1,
+                Outcome::Error => s.counts.errors += 1,
+                Outcome::Reset => s.counts.resets += 1,
+                Outcome::ConnectFailed => s.counts.unconnected += 1,
+                Outcome::NeverSent => s.counts.unsent += 1,
+                _ => {}
+            }
+            if let Some(served) = served {
+                if let Some(live) = s.requests.remove(&request) {
+                    s.counts.served += 1;
+                    let _ = live.answer.send(Answer::Served(served));
+                }
+            }
+            let settled = !s.requests.contains_key(&request);
+            if !matches!(outcome, Outcome::Ok | Outcome::Cancelled) {
+                debug!("request {} attempt {} at {}: {outcome:?}", request.0, attempt.0, flight.backend.0);
+            }
+            AttemptEnd { request, attempt, outcome, latency: self.clock.now() - flight.sent, settled }
+        };
+        self.tell(Event::AttemptEnded(end));
+    }
+
+    /// Passes an event on, and all that follows from it.
+    fn tell(self: &Rc<Self>, event: Event) {
+        let mut s = self.state.borrow_mut();
+        let s = &mut *s;
+        s.events.push_back(event);
+        while let Some(event) = s.events.pop_front() {
+            let now = self.clock.now();
+            s.balancer.handle(now, event, &mut s.actions);
+            let mut actions = std::mem::take(&mut s.actions);
+            actions.drain(..).for_each(|action| self.carry_out(s, now, action));
+            s.actions = actions;
+        }
+    }
+
+    fn carry_out(self: &Rc<Self>, s: &mut State, now: Time, action: Action) {
+        match action {
+            Action::Dispatch { request, backend } => self.dispatch(s, now, request, backend),
+            Action::Refuse { request } => {
+                s.counts.refused += 1;
+                finish(s, request, Answer::Refused);
+            }
+            Action::Fail { request } => {
+                s.counts.failed += 1;
+                finish(s, request, Answer::Failed);
+            }
+            Action::Cancel { request, attempt } => {
+                let Some(flight) = s.attempts.remove(&(request, attempt)) else { return };
+                flight.task.abort();
+                s.events.push_back(Event::AttemptEnded(AttemptEnd {
+                    request,
+                    attempt,
+                    outcome: Outcome::Cancelled,
+                    latency: now - flight.sent,
+                    settled: !s.requests.contains_key(&request),
+                }));
+            }
+            Action::SetTimer { token, after } => {
+                let at = now + after;
+                if s.timers.peek().is_none_or(|first| at < first.0 .0) {
+                    self.sooner.notify_one();
+                }
+                s.timers.push(Reverse((at, token)));
+            }
+            Action::Follow => self.follow.notify_one(),
+            Action::Log(text) => info!("{text}"),
+        }
+    }
+
+    fn dispatch(self: &Rc<Self>, s: &mut State, now: Time, request: RequestId, backend: BackendId) {
+        let Some(live) = s.requests.get_mut(&request) else { return };
+        let attempt = AttemptNo(live.attempts);
+        live.attempts += 1;
+        s.counts.attempts += 1;
+        let (call, deadline) = (live.call.clone(), self.clock.instant(live.deadline));
+        let Some(to) = s.backends.get(backend.0 as usize).map(|b| b.address) else { return };
+        let host = self.clone();
+        let task = tokio::task::spawn_local(async move {
+            let may_send = || host.ready(backend);
+            let ended = host.pool.attempt(backend, to, &call, deadline, may_send).await;
+            host.attempt_ended(request, attempt, ended);
+        });
+        let flight = Flight { backend, sent: now, task: task.abort_handle() };
+        s.attempts.insert((request, attempt), flight);
+    }
+
+    /// The list allows new requests to the backend.
+    fn ready(&self, id: BackendId) -> bool {
+        let s = self.state.borrow();
+        s.backends.get(id.0 as usize).is_some_and(|b| b.state == BackendState::Ready)
+    }
+
+    /// Fires the module's timers for as long as the program runs.
+    pub async fn timers(self: Rc<Self>) {
+        loop {
+            let first = self.state.borrow().timers.peek().map(|t| t.0 .0);
+            match first {
+                None => self.sooner.notified().await,
+                Some(at) => {
+                    let due = tokio::time::sleep_until(self.clock.instant(at));
+                    tokio::select! {
+                        _ = due => self.fire(),
+                        _ = self.sooner.notified() => {}
+                    }
+                }
+            }
+        }
+    }
+
+    fn fire(self: &Rc<Self>) {
+        loop {
+            let now = self.clock.now();
+            let due = {
+                let mut s = self.state.borrow_mut();
+                match s.timers.peek() {
+                    Some(Reverse((at, _))) if *at <= now => s.timers.pop(),
+                    _ => return,
+                }
+            };
+            if let Some(Reverse((at, token))) = due {
+                self.lag.set((now - at).0.max(self.lag.get() * 15 / 16));
+                self.tell(Event::Timer { token });
+            }
+        }
+    }
+
+    /// One line on what went on since the last.
+    pub fn report(&self, clients: usize) {
+        let mut s = self.state.borrow_mut();
+        let c = std::mem::take(&mut s.counts);
+        info!(
+            "requests {} served {} refused {} failed {} overdue {} gone {}; attempts {} full {} errors {} \
+             resets {} unconnected {} unsent {}; open requests {} clients {} upstreams {} connects {} lag {} us",
+            c.requests,
+            c.served,
+            c.refused,
+            c.failed,
+            c.timed_out,
+            c.gone,
+            c.attempts,
+            c.full,
+            c.errors,
+            c.resets,
+            c.unconnected,
+            c.unsent,
+            s.requests.len(),
+            clients,
+            self.pool.open(),
+            self.pool.opened.take(),
+            self.lag.get(),
+        );
+    }
+}
+
+fn finish(s: &mut State, request: RequestId, answer: Answer) {
+    if let Some(live) = s.requests.remove(&request) {
+        let _ = live.answer.send(answer);
+    }
+}
--- /dev/null
+++ b/src/net/mod.rs
@@ -0,0 +1,57 @@
+//! The proxy on real sockets. It translates between sockets and the decision module, and decides nothing.
+
+pub mod config;
+pub mod discovery;
+pub mod host;
+pub mod server;
+pub mod stream;
+pub mod upstream;
+
+use lanefront::Time;
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+
+/// The largest body on either side.
+pub const MAX_BODY: usize = 64 * 1024;
+
+/// The module's time: the monotonic clock, set once to Unix time so that start times in lists fit it.
+#[derive(Clone, Copy)]
+pub struct Clock {
+    start: Instant,
+    unix: u64,
+}
+
+impl Clock {
+    pub fn new() -> Clock {
+        let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        Clock { start: Instant::now(), unix: unix.as_micros() as u64 }
+    }
+    pub fn now(&self) -> Time {
+        Time(self.unix + self.start.elapsed().as_micros() as u64)
+    }
+    /// When the monotonic clock shows that time.
+    pub fn instant(&self, at: Time) -> tokio::time::Instant {
+        (self.start + Duration::from_micros(at.0.saturating_sub(self.unix))).into()
+    }
+}
+
+pub fn span(of: lanefront::Micros) -> Duration {
+    Duration::from_micros(of.0)
+}
+
+/// Headers that concern one connection only.
+pub fn strip_hop_by_hop(headers: &mut hyper::HeaderMap) {
+    use hyper::header::*;
+    let named: Vec<HeaderName> = headers
+        .get_all(CONNECTION)
+        .iter()
+        .filter_map(|v| v.to_str().ok())
+        .flat_map(|v| v.split(','))
+        .filter_map(|n| n.trim().parse().ok())
+        .collect();
+    named.into_iter().for_each(|name| drop(headers.remove(name)));
+    for name in [CONNECTION, TE, TRAILER, TRANSFER_ENCODING, UPGRADE, EXPECT, CONTENT_LENGTH] {
+        headers.remove(name);
+    }
+    headers.remove("keep-alive");
+    headers.remove("proxy-connection");
+}
--- a/src/bin/lanefront-benchlink/settings.rs
+++ b/src/settings.rs
@@ -1,10 +1,11 @@
-//! The settings of an instance to the library's configuration, and the names that go with it.
+//! The settings of an instance to the module's configuration, and the names that go with it: shared by
+//! the proxy and the simulator's adapter.
 
-use lanefront::*;
+use crate::interface::*;
 use serde_json::Value;
 
 /// Names in the order of their numbers. Places and kinds met first in a list are numbered then.
-#[derive(Default)]
+#[derive(Clone, Debug, Default)]
 pub struct Names {
     zones: Vec<String>,
     kinds: Vec<String>,
@@ -12,8 +13,10 @@
     tenants: Vec<String>,
 }
 
-/// A row of a list, read once for all instances; each has numbers of its own for the names.
+/// An entry of a backend list under its plain names; each proxy has numbers of its own for these.
+#[derive(Clone, Debug)]
 pub struct Row {
+    /// Where it listens.
     pub address: String,
     zone: String,
     kind: String,
@@ -21,36 +24,12 @@
 }
 
 impl Row {
-    pub fn read(row: &Value) -> Result<Row, String> {
-        let bad = |what: &str| format!("list entry {row}: expected {what}");
-        let row = row.as_array().filter(|r| r.len() == 7).ok_or_else(|| bad("an array of 7 values"))?;
-        let text = |at: usize, what| row[at].as_str().ok_or_else(|| bad(what));
-        let address = text(3, "an address")?;
-        let plain = |b: u8| b.is_ascii_graphic() && b != b'"' && b != b'\\';
-        if address.is_empty() || !address.bytes().all(plain) {
-            return Err(bad("a plain address"));
-        }
-        let state = match text(4, "IN, LAME or OUT")? {
-            "IN" => BackendState::Ready,
-            "LAME" => BackendState::Draining,
-            "OUT" => BackendState::Gone,
-            _ => return Err(bad("IN, LAME or OUT")),
-        };
-        let booted = match &row[6] {
-            Value::Null => None,
-            v => Some(v.as_u64().ok_or_else(|| bad("a start time or null"))?),
-        };
-        let entry = Backend {
-            mark: address.bytes().fold(0xcbf2_9ce4_8422_2325, |h, b| {
-                (h ^ u64::from(b)).wrapping_mul(0x0100_0000_01b3) // FNV-1a
-            }) >> 20,
-            cell: CellId(row[1].as_u64().ok_or_else(|| bad("a cell number"))?),
-            state,
-            booted: booted.filter(|t| *t > 0).map(Time),
-            ..Backend::default()
-        };
-        let (zone, kind) = (text(0, "a zone")?.into(), text(2, "a kind")?.into());
-        Ok(Row { address: address.into(), zone, kind, entry })
+    /// `same` is what every proxy calls the backend: the order that they share is drawn from it.
+    pub fn new(same: &str, address: &str, zone: &str, kind: &str, entry: Backend) -> Row {
+        let fold = |h: u64, b: u8| (h ^ u64::from(b)).wrapping_mul(0x0100_0000_01b3); // FNV-1a
+        let mark = same.bytes().fold(0xcbf2_9ce4_8422_2325, fold) >> 20;
+        let entry = Backend { mark, ..entry };
+        Row { address: address.into(), zone: zone.into(), kind: kind.into(), entry }
     }
 }
 
@@ -63,10 +42,12 @@
 }
 
 impl Names {
+    /// The class of that name.
     pub fn class(&self, name: &str) -> Option<ClassId> {
         self.classes.iter().position(|n| n == name).map(ClassId)
     }
 
+    /// The tenant of that name.
     pub fn tenant(&self, name: &str) -> Option<TenantId> {
         self.tenants.iter().position(|n| n == name).map(TenantId)
     }
@@ -200,3 +181,29 @@
     };
     Ok((config, names))
 }
+
+/// What only a proxy on real sockets needs of the settings.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Network {
+    /// A connection that is not up by then counts as failed.
+    pub connect_timeout: Micros,
+    /// Backends close connections that were idle for so long.
+    pub conn_idle: Micros,
+    /// The longest advice that a client follows.
+    pub max_retry_after: Micros,
+    /// How long a client waits at most, by class.
+    pub deadlines: Vec<Micros>,
+}
+
+/// Reads the part of the settings that concerns sockets.
+pub fn network(settings: &Value) -> Result<Network, String> {
+    let root = Key { path: String::new(), value: Some(settings) };
+    let limits = root.get("limits");
+    let deadline = |class: &Key| class.get("deadline_us").micros();
+    Ok(Network {
+        connect_timeout: limits.get("dial_timeout_us").micros()?,
+        conn_idle: limits.get("conn_idle_us").micros()?,
+        max_retry_after: limits.get("max_retry_after_us").micros()?,
+        deadlines: root.get("profiles").list()?.iter().map(deadline).collect::<Result<_, _>>()?,
+    })
+}
