Rename lanefront to shaletide

Mechanical: names only. Seen: the program still bore its old name. Checked: build and tests as before; ruled out: a change of behaviour, as no line but names differs. Lines to blame: none. Conclusion: one name from here on.

--- a/src/bin/lanefront-benchlink/main.rs
+++ b/src/bin/shaletide-adapter/main.rs
@@ -1,4 +1,4 @@
-//! Speaks the bench's wire on standard input and output: one [`lanefront::Balancer`] per instance.
+//! Speaks the bench's wire on standard input and output: one [`shaletide::Balancer`] per instance.
 //! Translation only; every decision is the library's.
 #![forbid(unsafe_code)]
 
@@ -11,7 +11,7 @@
     match run(stdin, stdout) {
         Ok(()) => std::process::ExitCode::SUCCESS,
         Err(text) => {
-            eprintln!("lanefront-benchlink: {text}");
+            eprintln!("shaletide-adapter: {text}");
             std::process::ExitCode::FAILURE
         }
     }
--- a/src/main.rs
+++ b/src/main.rs
@@ -3,12 +3,12 @@
 
 mod net;
 
-use lanefront::{Balancer, ListUpdate};
 use net::config::{Node, NodeError};
 use net::host::Host;
 use net::server::{Rules, Server};
 use net::upstream::Pool;
 use net::{discovery, server, Clock};
+use shaletide::{Balancer, ListUpdate};
 use std::process::ExitCode;
 use std::rc::Rc;
 use std::time::Duration;
@@ -30,7 +30,7 @@
     match outcome {
         Ok(()) => ExitCode::SUCCESS,
         Err(text) => {
-            eprintln!("lanefront: {text}");
+            eprintln!("shaletide: {text}");
             ExitCode::FAILURE
         }
     }
--- a/src/net/config.rs
+++ b/src/net/config.rs
@@ -1,9 +1,9 @@
 //! `NODE_CONFIG`: what this proxy is told at its start.
 
 use super::discovery::List;
-use lanefront::settings::{self, Names, Network};
-use lanefront::Config;
 use serde::Deserialize;
+use shaletide::settings::{self, Names, Network};
+use shaletide::Config;
 use std::fmt;
 use std::net::SocketAddr;
 
--- a/src/net/host.rs
+++ b/src/net/host.rs
@@ -3,8 +3,8 @@
 use super::discovery::List;
 use super::upstream::{Call, Ended, Pool, Served};
 use super::Clock;
-use lanefront::settings::Names;
-use lanefront::*;
+use shaletide::settings::Names;
+use shaletide::*;
 use std::cell::{Cell, RefCell};
 use std::cmp::Reverse;
 use std::collections::{BinaryHeap, HashMap, VecDeque};
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -7,7 +7,7 @@
 pub mod stream;
 pub mod upstream;
 
-use lanefront::Time;
+use shaletide::Time;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 /// The largest body on either side.
@@ -34,7 +34,7 @@
     }
 }
 
-pub fn span(of: lanefront::Micros) -> Duration {
+pub fn span(of: shaletide::Micros) -> Duration {
     Duration::from_micros(of.0)
 }
 
--- a/src/net/server.rs
+++ b/src/net/server.rs
@@ -11,7 +11,7 @@
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper::{HeaderMap, Method, Request, Response, StatusCode};
-use lanefront::*;
+use shaletide::*;
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::convert::Infallible;
--- a/tests/adapter.rs
+++ b/tests/adapter.rs
@@ -24,7 +24,7 @@
 
 /// Runs the adapter on `input`; gives its output, its error text and whether it ended well.
 fn run(input: &str) -> (String, String, bool) {
-    let mut child = Command::new(env!("CARGO_BIN_EXE_lanefront-benchlink"))
+    let mut child = Command::new(env!("CARGO_BIN_EXE_shaletide-adapter"))
         .stdin(Stdio::piped())
         .stdout(Stdio::piped())
         .stderr(Stdio::piped())
--- a/tests/invariants.rs
+++ b/tests/invariants.rs
@@ -2,9 +2,9 @@
 
 mod common;
 use common::{backend, class, Host};
-use lanefront::*;
 use proptest::prelude::*;
 use proptest::test_runner::{RngAlgorithm, TestRng, TestRunner};
+use shaletide::*;
 
 #[derive(Clone, Debug)]
 enum Step {
