Answers no longer wait on a closed connection; refusals carry advice; loopback tests

Seen: the first test in which a backend ends its connection right after its answer stood still until the deadline and got 502 for a 200. Checked with that test: the outcome was there, the attempt was not over. Ruled out: the pool's check (the kernel was asked, and said closed). Lines to blame: upstream.rs, attempt() and driven(): the wait for the sender to be ready again is never woken once the connection's future has ended. driven() now ends with the connection, and readiness is looked at once, never waited for.

Also: the module advises when a refused client had better come again (twice the class's usual latency, or the term of an ejection where nothing is ready), the host holds it within the settings' maximum.

--- a/src/bin/shaletide-adapter/wire.rs
+++ b/src/bin/shaletide-adapter/wire.rs
@@ -262,7 +262,9 @@
             let to = address(backend);
             writeln!(reply, "[\"HAND_OFF\",\"{who}\",\"{:016x}\",\"{to}\",0]", request.0)
         }
-        Action::Refuse { request } => writeln!(reply, "[\"BOUNCE\",\"{who}\",\"{:016x}\",0]", request.0),
+        Action::Refuse { request, retry_after } => {
+            writeln!(reply, "[\"BOUNCE\",\"{who}\",\"{:016x}\",{}]", request.0, retry_after.0)
+        }
         Action::Fail { request } => writeln!(reply, "[\"LOSE\",\"{who}\",\"{:016x}\"]", request.0),
         Action::Cancel { request, attempt } => {
             writeln!(reply, "[\"RECALL\",\"{who}\",\"{:016x}\",{}]", request.0, attempt.0)
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -395,6 +395,8 @@
     Refuse {
         /// The request.
         request: RequestId,
+        /// When the client had better come again, from now.
+        retry_after: Micros,
     },
     /// Final answer: failed, nothing is promised.
     Fail {
--- a/src/main.rs
+++ b/src/main.rs
@@ -46,6 +46,7 @@
     let rules = Rules {
         effects: node.config.classes.iter().map(|c| c.effect).collect(),
         deadlines: node.network.deadlines,
+        max_retry_after: node.network.max_retry_after,
     };
     let balancer =
         Balancer::new(node.config, node.seed).map_err(|e| NodeError::Settings(e.to_string()).to_string())?;
@@ -54,7 +55,8 @@
     host.members(ListUpdate::Cached, &node.known);
     let listener =
         server::listen(node.listen).map_err(|e| format!("cannot listen on {}: {e}", node.listen))?;
-    info!("{} listens on {}, {} backends known", node.name, node.listen, node.known.endpoints.len());
+    let at = listener.local_addr().unwrap_or(node.listen);
+    info!("{} listens on {at}, {} backends known", node.name, node.known.endpoints.len());
     tokio::task::spawn_local(host.clone().timers());
     tokio::task::spawn_local(pool.sweep());
     tokio::task::spawn_local(discovery::watch(host.clone(), node.discovery, node.known.index, mode));
--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -91,6 +91,7 @@
     Http(Box<dyn std::error::Error + Send + Sync>),
     Status(u16),
     Json(serde_json::Error),
+    Ended,
     Silent,
 }
 
@@ -101,6 +102,7 @@
             WatchError::Http(e) => write!(f, "call broken: {e}"),
             WatchError::Status(code) => write!(f, "answered {code}"),
             WatchError::Json(e) => write!(f, "answer not understood: {e}"),
+            WatchError::Ended => write!(f, "connection ended"),
             WatchError::Silent => write!(f, "silent"),
         }
     }
@@ -181,7 +183,7 @@
         let body = Limited::new(answer.into_body(), MAX_LIST).collect().await.map_err(WatchError::Http)?;
         Ok((status, body.to_bytes()))
     };
-    let (status, body) = driven(conn, answer).await?;
+    let (status, body) = driven(conn, answer).await.unwrap_or(Err(WatchError::Ended))?;
     *link = Some(live);
     if status != 200 {
         return Err(WatchError::Status(status));
--- a/src/net/host.rs
+++ b/src/net/host.rs
@@ -21,7 +21,8 @@
 /// The final answer to a request.
 pub enum Answer {
     Served(Served),
-    Refused,
+    /// With the time after which the client had better come again.
+    Refused(Micros),
     Failed,
     TimedOut,
 }
@@ -261,9 +262,9 @@
     fn carry_out(self: &Rc<Self>, s: &mut State, now: Time, action: Action) {
         match action {
             Action::Dispatch { request, backend } => self.dispatch(s, now, request, backend),
-            Action::Refuse { request } => {
+            Action::Refuse { request, retry_after } => {
                 s.counts.refused += 1;
-                finish(s, request, Answer::Refused);
+                finish(s, request, Answer::Refused(retry_after));
             }
             Action::Fail { request } => {
                 s.counts.failed += 1;
--- a/src/net/server.rs
+++ b/src/net/server.rs
@@ -26,16 +26,17 @@
 
 /// After SIGTERM new connections go on coming for up to 0.4 s.
 const LINGER: Duration = Duration::from_millis(500);
-/// Nothing keeps the program longer than this after that.
-const MOST_LINGER: Duration = Duration::from_secs(4);
-/// Connections over the bound that are taken in only to be turned away.
-const TURNED_AWAY: usize = 32;
+/// Kept after the longest deadline for the last answers' way out.
+const FLUSH: Duration = Duration::from_millis(100);
+/// Connections over the bound, out of the reserve: each is closed after its answer.
+const OVER_BOUND: usize = 24;
 const BACKLOG: u32 = 1024;
 
 /// What requests are checked against.
 pub struct Rules {
     pub effects: Vec<Effect>,
     pub deadlines: Vec<Micros>,
+    pub max_retry_after: Micros,
 }
 
 struct Client {
@@ -97,7 +98,10 @@
                 tcp.into_iter().for_each(|tcp| self.take_in(tcp));
             }
         }
-        let end = tokio::time::Instant::now() + MOST_LINGER;
+        // Past the longest deadline nothing is owed any more; a client that holds a connection open with half
+        // of a request does not keep the program.
+        let longest = self.rules.deadlines.iter().max().copied().unwrap_or_default();
+        let end = tokio::time::Instant::now() + span(longest) + FLUSH;
         while self.clients() > 0 && tokio::time::Instant::now() < end {
             // Told again and again: one whose request had just arrived is not closed at the first time.
             self.clients.borrow().values().for_each(|c| c.close.notify_one());
@@ -106,7 +110,7 @@
     }
 
     async fn accept(self: &Rc<Self>, listener: &TcpListener) {
-        while self.clients() >= self.max + TURNED_AWAY && !self.close_longest_idle() {
+        while self.clients() >= self.max + OVER_BOUND && !self.close_longest_idle() {
             let _ = tokio::time::timeout(Duration::from_millis(20), self.left.notified()).await;
         }
         match listener.accept().await {
@@ -247,9 +251,12 @@
                 *response.headers_mut() = served.headers;
                 response
             }
-            Ok(Answer::Refused) => {
+            Ok(Answer::Refused(retry_after)) => {
                 let mut response = plain(StatusCode::SERVICE_UNAVAILABLE, "refused\n");
-                response.headers_mut().insert(RETRY_AFTER, HeaderValue::from_static("0"));
+                let advice = retry_after.min(self.rules.max_retry_after).secs();
+                if let Ok(text) = format!("{advice:.3}").parse() {
+                    response.headers_mut().insert(RETRY_AFTER, text);
+                }
                 response
             }
             Ok(Answer::Failed) => plain(StatusCode::BAD_GATEWAY, "failed\n"),
--- a/src/net/stream.rs
+++ b/src/net/stream.rs
@@ -111,3 +111,56 @@
         Poll::Ready(socket2::SockRef::from(&self.0.tcp).shutdown(std::net::Shutdown::Write))
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use std::io::{Read as _, Write as _};
+
+    async fn pair() -> (Stream, std::net::TcpStream) {
+        let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+        let tcp = TcpStream::connect(listener.local_addr().unwrap()).await.unwrap();
+        (Stream::new(tcp), listener.accept().unwrap().0)
+    }
+
+    async fn write(stream: &mut Stream, bytes: &[u8]) {
+        let mut left = bytes;
+        while !left.is_empty() {
+            let n = std::future::poll_fn(|cx| Pin::new(&mut *stream).poll_write(cx, left)).await.unwrap();
+            left = &left[n..];
+        }
+    }
+
+    /// Before the last byte a request has not run, from it on it may have: one byte decides.
+    #[tokio::test]
+    async fn a_request_counts_as_written_with_its_last_byte() {
+        let (mut stream, mut peer) = pair().await;
+        for parts in [["POST / HTTP/1.1\r\nA: 1\r", "\n\r\nbod", "y"], ["GET / HTTP/1.1\r\n", "\r\nbo", "dy"]]
+        {
+            stream.begin_request(4);
+            for part in parts {
+                assert!(!stream.request_written(), "before {part:?}");
+                write(&mut stream, part.as_bytes()).await;
+            }
+            assert!(stream.request_written());
+            peer.read_exact(&mut vec![0; parts.concat().len()]).unwrap();
+        }
+        stream.begin_request(0);
+        write(&mut stream, b"GET / HTTP/1.1\r\n\r").await;
+        assert!(!stream.request_written());
+        write(&mut stream, b"\n").await;
+        assert!(stream.request_written());
+    }
+
+    /// The kernel is asked, not the event loop, which has had no chance to hear of it here.
+    #[tokio::test]
+    async fn what_the_other_side_does_is_seen_at_once() {
+        let (stream, mut peer) = pair().await;
+        assert!(!stream.stirred());
+        peer.write_all(b"x").unwrap();
+        assert!(stream.stirred());
+        let (stream, peer) = pair().await;
+        drop(peer);
+        assert!(stream.stirred());
+    }
+}
--- a/src/net/upstream.rs
+++ b/src/net/upstream.rs
@@ -186,12 +186,17 @@
             let outcome = judge(&answer);
             let (head, body) = answer.into_parts();
             let body = Limited::new(body, MAX_BODY).collect().await;
-            let whole = body.is_ok() && sender.ready().await.is_ok();
-            Ok::<_, hyper::Error>((outcome, head, body, whole))
+            Ok::<_, hyper::Error>((outcome, head, body))
         };
         match driven(conn, exchange).await {
-            Ok((outcome, mut head, body, whole)) => {
-                if whole && !c.sender.is_closed() && may_send() {
+            Some(Ok((outcome, mut head, body))) => {
+                // One look: an answer does not wait for a connection that is not ready for more.
+                let again = body.is_ok() && {
+                    let mut next = pin!(driven(conn, sender.ready()));
+                    let next = poll_fn(|cx| Poll::Ready(next.as_mut().poll(cx))).await;
+                    matches!(next, Poll::Ready(Some(Ok(()))))
+                };
+                if again && may_send() {
                     self.put(id, c);
                 }
                 match (outcome, body) {
@@ -207,10 +212,10 @@
                 }
             }
             // The backend begins with the last byte, and never before it.
-            Err(_) if !c.stream.request_written() => (Outcome::ConnectFailed, None),
+            _ if !c.stream.request_written() => (Outcome::ConnectFailed, None),
             // What cannot be read as an answer is an answer all the same, and no break.
-            Err(e) if e.is_parse() => (Outcome::Error, None),
-            Err(_) => (Outcome::Reset, None),
+            Some(Err(e)) if e.is_parse() => (Outcome::Error, None),
+            _ => (Outcome::Reset, None),
         }
     }
 }
@@ -225,28 +230,84 @@
     }
 }
 
-/// Runs `work` to its end while driving the connection that it is on.
+/// Runs `work` to its end while driving the connection that it is on. `None`: the connection ended first.
+/// hyper does not tell `work` of that end by itself as long as the connection's future is kept: a wait for
+/// the sender to be ready again would last for ever after an answer with which the backend closed.
 pub async fn driven<T>(
     conn: &mut http1::Connection<
         Stream,
         impl hyper::body::Body<Data = Bytes, Error: Into<BoxError>> + 'static,
     >,
     work: impl Future<Output = T>,
-) -> T {
+) -> Option<T> {
     let mut work = pin!(work);
     let mut over = false;
     poll_fn(|cx| {
         if let Poll::Ready(done) = work.as_mut().poll(cx) {
-            return Poll::Ready(done);
+            return Poll::Ready(Some(done));
         }
-        // Once it has ended, `work` hears of it and ends too. The second look at `work` takes what the
-        // connection has just brought.
-        if !over {
-            over = std::pin::Pin::new(&mut *conn).poll(cx).is_ready();
+        if over {
+            return Poll::Ready(None);
         }
-        work.as_mut().poll(cx)
+        if std::pin::Pin::new(&mut *conn).poll(cx).is_ready() {
+            over = true;
+            cx.waker().wake_by_ref(); // once more for what it brought before it ended
+        }
+        work.as_mut().poll(cx).map(Some)
     })
     .await
 }
 
 type BoxError = Box<dyn std::error::Error + Send + Sync>;
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use shaletide::Micros;
+    use std::io::Read;
+
+    fn pool(max: usize) -> Pool {
+        let (connect_timeout, conn_idle) = (Micros(5_000_000), Micros(60_000_000));
+        let network =
+            Network { connect_timeout, conn_idle, max_retry_after: Micros(0), deadlines: Vec::new() };
+        Pool::new(&network, max)
+    }
+
+    fn call() -> Call {
+        let uri = Uri::from_static("/pay/k");
+        Call { method: Method::POST, uri, headers: HeaderMap::new(), body: Bytes::from_static(b"cash") }
+    }
+
+    fn soon() -> Instant {
+        Instant::now() + Duration::from_secs(20)
+    }
+
+    /// The backend begins to drain while the connection comes up: not a byte goes out on it.
+    #[tokio::test]
+    async fn a_backend_that_drains_while_connecting_is_sent_nothing() {
+        let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+        let (pool, to) = (pool(4), listener.local_addr().unwrap());
+        let ended = pool.attempt(BackendId(0), to, &call(), soon(), || false).await;
+        assert_eq!(ended.0, Outcome::NeverSent);
+        let mut peer = listener.accept().unwrap().0;
+        drop(pool);
+        let mut got = Vec::new();
+        peer.read_to_end(&mut got).unwrap();
+        assert!(got.is_empty(), "{got:?}");
+    }
+
+    /// At the bound the backend is not called ill, and an idle connection to another makes room first.
+    #[tokio::test]
+    async fn the_bound_on_connections_holds_and_the_idle_make_way() {
+        let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+        let (pool, to) = (pool(1), listener.local_addr().unwrap());
+        let busy = pool.connect(to).await.ok().unwrap();
+        let refused = pool.connect(to).await.err();
+        assert_eq!((refused, pool.open()), (Some(Outcome::NeverSent), 1));
+        pool.put(BackendId(0), busy);
+        let other = pool.connect(to).await;
+        assert!(other.is_ok() && pool.open() == 1);
+        drop(other);
+        assert_eq!(pool.open(), 0);
+    }
+}
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -552,7 +552,10 @@
         let Some(r) = self.requests.get(&id) else { return };
         let free = matches!(self.cfg.classes[r.class].effect, Effect::Free | Effect::Keyed(KeyScope::All, _));
         let harmless = free || r.sent.iter().all(|s| s.never_ran);
-        let (refused, failed) = (Action::Refuse { request: id }, Action::Fail { request: id });
+        // By then what is out now has made room, or an ejected backend is tried again.
+        let ready = self.kinds.values().any(|k| k.ready > 0.0);
+        let retry_after = if ready { self.usual(r.class).times(2.0) } else { Micros::from_secs(EJECT_TERM) };
+        let (refused, failed) = (Action::Refuse { request: id, retry_after }, Action::Fail { request: id });
         self.actions.push(if harmless { refused } else { failed });
         self.close(id);
     }
--- /dev/null
+++ b/tests/proxy.rs
@@ -0,0 +1,354 @@
+//! The program as a whole, on loopback sockets: what it must keep whatever backends, clients and discovery do.
+
+mod rig;
+
+use rig::*;
+use std::io::Write;
+use std::sync::atomic::{AtomicBool, Ordering::SeqCst};
+use std::sync::Arc;
+use std::time::Duration;
+
+fn one(backend: &BackendServer) -> Proxy {
+    Proxy::start(&[entry("b0", backend.address, "SERVING")])
+}
+
+fn two(a: &BackendServer, b: &BackendServer) -> Proxy {
+    Proxy::start(&[entry("b0", a.address, "SERVING"), entry("b1", b.address, "SERVING")])
+}
+
+#[test]
+fn a_request_goes_on_unchanged_and_so_does_its_answer() {
+    let backend = BackendServer::start(|_| Reply::Answer(200, "Content-Type: text/x", "the body".into()));
+    let proxy = one(&backend);
+    let answer = proxy.ask(
+        "POST /vote/k%201?q=%2F HTTP/1.1\r\nHost: s\r\nX-Correlation-Id: 00aa\r\nIdempotency-Key: 77\r\n\
+         X-Time-Left: 2.5\r\nConnection: x-private\r\nX-Private: 1\r\nTransfer-Encoding: chunked\r\n\r\n\
+         3\r\nabc\r\n0\r\n\r\n",
+    );
+    assert_eq!((answer.status(), &answer.body[..]), (200, &b"the body"[..]));
+    assert_eq!(answer.header("content-type"), Some("text/x"));
+    let got = backend.request();
+    assert_eq!(got.first, "POST /vote/k%201?q=%2F HTTP/1.1");
+    assert_eq!((got.header("x-correlation-id"), got.header("idempotency-key")), (Some("00aa"), Some("77")));
+    assert_eq!((&got.body[..], got.header("x-private")), (&b"abc"[..], None));
+    let left: f64 = got.header("x-time-left").unwrap().parse().unwrap();
+    assert!(left > 0.0 && left < 2.5, "{left}");
+    assert_eq!(backend.count(), 1);
+}
+
+/// The module saves up its further attempts from the requests that come: so many pay for several.
+fn warm_up(proxy: &Proxy) {
+    let mut client = proxy.client();
+    for _ in 0..25 {
+        assert_eq!(client.ask(&read(3.0)).status(), 200);
+    }
+}
+
+/// Serves until the switch is thrown, and does something else from then on.
+fn turning(to: impl Fn() -> Reply + Send + Sync + 'static) -> (BackendServer, Arc<AtomicBool>) {
+    let switch = Arc::new(AtomicBool::new(false));
+    let thrown = switch.clone();
+    let reply = move |_| if thrown.load(SeqCst) { to() } else { ok("x") };
+    (BackendServer::start(reply), switch)
+}
+
+/// Each outcome that may have run: an unsafe request is not sent again and is not called harmless.
+#[test]
+fn an_unsafe_request_that_may_have_run_fails_and_is_never_repeated() {
+    type Make = fn() -> Reply;
+    let cases: [(&str, Make, f64); 7] = [
+        ("500", || Reply::Answer(500, "", "oops".into()), 3.0),
+        ("reset", || Reply::Reset, 3.0),
+        ("silence", || Reply::Silence, 0.3),
+        ("unlisted", || Reply::Answer(404, "", String::new()), 3.0),
+        ("503 without a word on it", || Reply::Answer(503, "", String::new()), 3.0),
+        ("the word on another status", || Reply::Answer(500, "X-Unprocessed: 1", String::new()), 3.0),
+        ("too long", || ok(&"x".repeat(64 * 1024 + 1)), 3.0),
+    ];
+    for (what, reply, left) in cases {
+        let ((a, first), (b, second)) = (turning(reply), turning(reply));
+        let proxy = two(&a, &b);
+        warm_up(&proxy);
+        let before = a.count() + b.count();
+        first.store(true, SeqCst);
+        second.store(true, SeqCst);
+        let status = proxy.ask(&pay(left)).status();
+        assert!(status == 502 || status == 504, "{what}: {status}");
+        assert_eq!(a.count() + b.count(), before + 1, "{what}");
+    }
+}
+
+/// Each outcome that proves that it never ran: even an unsafe request goes on to another backend.
+#[test]
+fn an_unsafe_request_that_never_ran_is_sent_elsewhere() {
+    for status in [503, 504] {
+        let away = move || Reply::Answer(status, "X-Unprocessed: 1", String::new());
+        let ((away, switch), good) = (turning(away), BackendServer::start(|_| ok("paid")));
+        let proxy = two(&away, &good);
+        warm_up(&proxy);
+        switch.store(true, SeqCst);
+        let (away_before, good_before) = (away.count(), good.count());
+        let mut sent = 0;
+        while away.count() == away_before {
+            assert!(sent < 100, "the draw never met it");
+            assert_eq!(proxy.ask(&pay(3.0)).status(), 200);
+            sent += 1;
+        }
+        assert_eq!(good.count() - good_before, sent, "every one was served once");
+    }
+}
+
+/// A refused connection never ran either. Nobody sees it, so the draw gets many chances to meet it.
+#[test]
+fn an_unsafe_request_is_sent_elsewhere_when_the_connection_is_refused() {
+    let (nobody, good) = (Refusing::new(), BackendServer::start(|_| ok("paid")));
+    let proxy = one(&good);
+    warm_up(&proxy);
+    let (_, answer) = proxy.discovery.call();
+    let both = [entry("b0", good.address, "SERVING"), entry("b1", nobody.address(), "SERVING")];
+    answer.send((200, list(9, true, &both))).unwrap();
+    let _hold = proxy.discovery.call(); // by now the list is taken in
+    let before = good.count();
+    for _ in 0..30 {
+        assert_eq!(proxy.ask(&pay(3.0)).status(), 200);
+    }
+    assert_eq!(good.count() - before, 30);
+}
+
+/// A request that is given up is answered then, not at its deadline, and the client is told when to come back.
+#[test]
+fn a_refusal_comes_at_once_and_with_advice() {
+    let away = BackendServer::start(|_| Reply::Answer(503, "X-Unprocessed: 1", String::new()));
+    let proxy = one(&away);
+    for request in [pay(3.0), read(3.0)] {
+        let answer = proxy.ask(&request);
+        assert_eq!(answer.status(), 503);
+        let advice: f64 = answer.header("retry-after").expect("advice").parse().expect("a number");
+        assert!(advice > 0.0 && advice <= 2.0, "{advice}");
+    }
+}
+
+#[test]
+fn silence_is_answered_before_the_client_gives_up() {
+    let backend = BackendServer::start(|_| Reply::Silence);
+    let proxy = one(&backend);
+    let begun = std::time::Instant::now();
+    let status = proxy.ask(&pay(0.6)).status();
+    assert!(status == 502 || status == 504, "{status}");
+    assert!(begun.elapsed() < Duration::from_secs(3), "the client's time counts, not the class's");
+    backend.closed(); // the attempt was given up with it
+    assert_eq!(proxy.ask(&read(0.3)).status(), 503, "a safe one is harmless to repeat");
+}
+
+#[test]
+fn a_client_that_leaves_takes_its_attempt_along() {
+    let backend = BackendServer::start(|_| Reply::Silence);
+    let proxy = one(&backend);
+    let mut client = proxy.client();
+    client.send(&read(3.0));
+    backend.request();
+    drop(client);
+    backend.closed();
+    assert_eq!(backend.count(), 1);
+}
+
+#[test]
+fn requests_in_turn_share_a_warm_connection() {
+    let backend = BackendServer::start(|_| ok("x"));
+    let proxy = one(&backend);
+    let mut client = proxy.client();
+    for _ in 0..10 {
+        assert_eq!(client.ask(&read(3.0)).status(), 200);
+    }
+    assert_eq!(backend.connections.load(SeqCst), 1);
+}
+
+/// A backend may end a kept connection at any time: a request written to it then would count as a reset.
+#[test]
+fn a_connection_that_the_backend_closed_is_not_used_again() {
+    let backend = BackendServer::start(|_| Reply::AnswerAndClose(200, "x".into()));
+    let proxy = one(&backend);
+    for round in 1..=5 {
+        assert_eq!(proxy.ask(&pay(3.0)).status(), 200);
+        assert_eq!(backend.count(), round);
+        backend.closed();
+    }
+}
+
+#[test]
+fn a_connection_is_retired_before_the_backends_idle_limit() {
+    let backend = BackendServer::start(|_| ok("x"));
+    let settings = SETTINGS.replace("\"conn_idle_us\":60000000", "\"conn_idle_us\":1000000");
+    let proxy = Proxy::with(&[entry("b0", backend.address, "SERVING")], 1024, &settings);
+    assert_eq!(proxy.ask(&read(3.0)).status(), 200);
+    backend.closed();
+    assert_eq!(proxy.ask(&read(3.0)).status(), 200);
+    assert_eq!(backend.connections.load(SeqCst), 2);
+}
+
+#[test]
+fn the_watch_follows_changes_failures_and_gaps() {
+    let (old, new) = (BackendServer::start(|_| ok("old")), BackendServer::start(|_| ok("new")));
+    let proxy = one(&old);
+    assert_eq!(proxy.ask(&read(3.0)).body, b"old");
+    let (target, answer) = proxy.discovery.call();
+    assert_eq!(target, "GET /api/targets HTTP/1.1");
+    let bad = r#"{"name":7},{"name":"x","address":"nowhere","status":"SERVING"}"#.to_string();
+    let odd = entry("b9", old.address, "RESTING");
+    answer.send((200, list(9, true, &[bad, odd, entry("b0", old.address, "SERVING")]))).unwrap();
+    let (target, answer) = proxy.discovery.call();
+    assert!(target.starts_with("GET /api/targets?after=9&wait_ms="), "{target}");
+    let change = [entry("b0", old.address, "DRAINING"), entry("b1", new.address, "SERVING")];
+    answer.send((200, list(10, false, &change))).unwrap();
+    let (target, answer) = proxy.discovery.call(); // by now the change is taken in
+    assert!(target.contains("after=10&"), "{target}");
+    for _ in 0..8 {
+        assert_eq!(proxy.ask(&pay(3.0)).body, b"new", "nothing new for one that drains");
+    }
+    answer.send((503, String::new())).unwrap();
+    let (target, answer) = proxy.discovery.call();
+    assert!(target.contains("after=10&"), "a failure is asked again: {target}");
+    answer.send((200, "no list".into())).unwrap();
+    let (target, answer) = proxy.discovery.call();
+    assert!(target.contains("after=10&"), "so is nonsense: {target}");
+    drop(answer); // the connection breaks
+    let (_, answer) = proxy.discovery.call();
+    answer.send((200, list(3, false, &[]))).unwrap();
+    let (target, answer) = proxy.discovery.call();
+    assert_eq!(target, "GET /api/targets HTTP/1.1", "a gap means the whole list");
+    answer.send((200, list(3, true, &[entry("b0", old.address, "SERVING")]))).unwrap();
+    let (target, _hold) = proxy.discovery.call();
+    assert!(target.contains("after=3&"), "{target}");
+    assert_eq!(proxy.ask(&pay(3.0)).body, b"old", "what is absent from the whole list is gone");
+    assert_eq!(old.count(), 2);
+}
+
+#[test]
+fn odd_requests_get_their_own_answers_and_harm_nothing() {
+    let backend = BackendServer::start(|_| ok("x"));
+    let proxy = one(&backend);
+    let long = 64 * 1024 + 1;
+    let body = "y".repeat(long);
+    let cases = [
+        (404, "GET /none/k HTTP/1.1\r\nHost: s\r\nX-Correlation-Id: 1\r\n\r\n".to_string()),
+        (404, "GET / HTTP/1.1\r\nHost: s\r\nX-Correlation-Id: 1\r\n\r\n".to_string()),
+        (404, "GET /-/load HTTP/1.1\r\nHost: s\r\n\r\n".to_string()),
+        (400, "GET /read/k\r\nwhat\r\n\r\n".to_string()),
+        (400, "GET /read/k HTTP/1.1\r\nHost: s\r\n\r\n".to_string()),
+        (400, "GET /pay/k HTTP/1.1\r\nHost: s\r\nX-Correlation-Id: 1\r\n\r\n".to_string()),
+        (400, "POST /vote/k HTTP/1.1\r\nHost: s\r\nX-Correlation-Id: 1\r\nContent-Length: 0\r\n\r\n".to_string()),
+        (
+            413,
+            format!(
+                "POST /pay/k HTTP/1.1\r\nHost: s\r\nX-Correlation-Id: 1\r\nContent-Length: {long}\r\n\r\n{body}"
+            ),
+        ),
+        (200, "GET /-/ready HTTP/1.1\r\nHost: s\r\n\r\n".to_string()),
+    ];
+    for (status, request) in cases {
+        let mut client = proxy.client();
+        // The proxy may answer and close before it has read all of it.
+        let _ = client.0.get_mut().write_all(request.as_bytes());
+        let answer = client.answer().unwrap_or_else(|| panic!("no answer to {request:.80}"));
+        assert_eq!(answer.status(), status, "{request:.80}");
+    }
+    assert_eq!(backend.count(), 0);
+    for left in
+        ["", "X-Time-Left: soon\r\n", "X-Time-Left: -1\r\n", "X-Time-Left: NaN\r\n", "X-Time-Left: 1e300\r\n"]
+    {
+        let request = format!("GET /read/k HTTP/1.1\r\nHost: s\r\nX-Correlation-Id: 1\r\n{left}\r\n");
+        assert_eq!(proxy.ask(&request).status(), 200, "{left}");
+        let told: f64 = backend.request().header("x-time-left").unwrap().parse().unwrap();
+        assert!(told > 1.0 && told <= 3.0, "the class's deadline: {told}");
+    }
+}
+
+#[test]
+fn a_missing_or_malformed_configuration_ends_the_program_with_a_plain_message() {
+    let sound = r#"{"name":"n","listen":"127.0.0.1:0","discovery":"127.0.0.1:9","seed":"zz","settings":{}}"#;
+    for (config, expected) in [
+        (None, "NODE_CONFIG is not set"),
+        (Some("{"), "line 1"),
+        (Some("{}"), "name"),
+        (Some(sound), "settings"),
+    ] {
+        let out = launch(config).output().unwrap();
+        let text = String::from_utf8_lossy(&out.stderr);
+        assert!(!out.status.success(), "{config:?}");
+        assert!(text.contains(expected) && !text.contains("panicked"), "{config:?}: {text}");
+    }
+}
+
+/// More clients than descriptors allow: the idle make way, and nobody is turned away or crashes it.
+#[test]
+fn at_the_bound_idle_connections_make_way() {
+    let backend = BackendServer::start(|_| ok("x"));
+    let proxy = Proxy::with(&[entry("b0", backend.address, "SERVING")], 80, SETTINGS);
+    let mut idle: Vec<Client> = (0..8)
+        .map(|_| {
+            let mut client = proxy.client();
+            assert_eq!(client.ask(&read(3.0)).status(), 200);
+            client
+        })
+        .collect();
+    for _ in 0..100 {
+        let mut client = proxy.client();
+        assert_eq!(client.ask(&read(3.0)).status(), 200);
+        idle.push(client);
+    }
+    assert!(idle[0].ended(), "the one that was idle longest went first");
+}
+
+/// On SIGTERM what is under way is answered, and so is what comes while clients do not know of it yet.
+#[test]
+fn a_graceful_shutdown_answers_everything_and_ends() {
+    let gate = Arc::new(Gate::default());
+    let wait = gate.clone();
+    let backend = BackendServer::start(move |n| if n == 0 { Reply::Gate(wait.clone()) } else { ok("late") });
+    let mut proxy = one(&backend);
+    let (mut busy, mut kept, mut idle) = (proxy.client(), proxy.client(), proxy.client());
+    for client in [&mut kept, &mut idle] {
+        assert_eq!(client.ask("GET /-/ready HTTP/1.1\r\nHost: s\r\n\r\n").status(), 200);
+    }
+    busy.send(&pay(3.0));
+    backend.request();
+    proxy.terminate();
+    // Until the signal has arrived there is nothing to see of it: the first answer that says so shows it.
+    loop {
+        let answer = proxy.ask("GET /-/ready HTTP/1.1\r\nHost: s\r\n\r\n");
+        assert_eq!(answer.status(), 200, "connections are still accepted");
+        if answer.header("connection") == Some("close") {
+            break;
+        }
+    }
+    for client in [&mut kept, &mut proxy.client()] {
+        let answer = client.ask(&pay(2.0));
+        assert_eq!((answer.status(), answer.header("connection")), (200, Some("close")));
+    }
+    assert!(idle.ended(), "an idle connection is closed");
+    gate.open();
+    assert_eq!(busy.answer().expect("the answer that was owed").body, b"gated");
+    assert!(busy.ended());
+    assert!(proxy.child.wait().unwrap().success());
+}
+
+#[test]
+fn keyed_requests_are_repeated_under_the_same_key() {
+    let ((bad, switch), good) = (turning(|| Reply::Reset), BackendServer::start(|_| ok("counted")));
+    let proxy = two(&bad, &good);
+    warm_up(&proxy);
+    while bad.seen.try_recv().is_ok() || good.seen.try_recv().is_ok() {}
+    switch.store(true, SeqCst);
+    let before = bad.count();
+    for sent in 0.. {
+        assert!(sent < 100, "the draw never met it");
+        assert_eq!(proxy.ask(&vote(3.0)).status(), 200);
+        let served = good.request();
+        if bad.count() > before {
+            let reset = bad.request();
+            assert_eq!(reset.header("idempotency-key"), served.header("idempotency-key"));
+            assert_eq!(reset.header("x-correlation-id"), served.header("x-correlation-id"));
+            return;
+        }
+    }
+}
