Guard the first byte, slow clients and silent discovery

Lines to blame: host.rs dispatch() asked the list alone at the first byte; server.rs close_longest_idle() knew no client that was leaving or stale; discovery.rs watch() waited on the module's own call.

--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -17,9 +17,10 @@
 use tokio::net::TcpStream;
 use tracing::{info, warn};
 
-/// One call waits so long for news; a silent discovery is noticed a little later.
+/// One call waits so long for news.
 const WAIT: Duration = Duration::from_secs(10);
-const GRACE: Duration = Duration::from_secs(1);
+/// What an answer may take beyond that before discovery counts as silent.
+const PROMPT: Duration = Duration::from_secs(2);
 /// Pause after the first failed call in a row; it doubles, three times at most.
 const BACKOFF: Duration = Duration::from_millis(50);
 /// A list may be longer than a request's body, but not without bound.
@@ -75,13 +76,22 @@
 }
 
 impl List {
-    /// The entries that make sense; the others are logged.
+    /// The entries that make sense. Of the others one is logged, with their number: a list may be long.
     pub fn entries(&self) -> Vec<Endpoint> {
+        let (mut skipped, mut sample) = (0, None);
         let read = |value: &Value| {
             let got = Endpoint::read(value);
-            got.inspect_err(|e| warn!("discovery entry skipped: {e}: {value:.200}")).ok()
+            got.map_err(|e| {
+                skipped += 1;
+                sample.get_or_insert_with(|| format!("{e}: {value:.200}"));
+            })
+            .ok()
         };
-        self.endpoints.iter().filter_map(read).collect()
+        let entries = self.endpoints.iter().filter_map(read).collect();
+        if let Some(sample) = sample {
+            warn!("{skipped} discovery entries skipped, the first: {sample:.400}");
+        }
+        entries
     }
 }
 
@@ -120,21 +130,24 @@
     let asked = mode != Discovery::Push;
     let mut whole = !asked; // an agent's answers cost nothing: begin with the truth
     let (mut link, mut failures) = (None, 0u32);
+    // A call of the module's is answered once, by what it missed; only what follows waits for news.
+    let mut wait = WAIT;
     if asked {
         host.followed().await;
+        wait = Duration::ZERO;
     }
     loop {
-        let uri = match whole {
-            true => "/api/targets".to_string(),
-            false => format!("/api/targets?after={index}&wait_ms={}", WAIT.as_millis()),
+        let (uri, patience) = match whole {
+            true => ("/api/targets".to_string(), PROMPT),
+            false => (format!("/api/targets?after={index}&wait_ms={}", wait.as_millis()), wait + PROMPT),
         };
-        let call = tokio::time::timeout(WAIT + GRACE, fetch(&mut link, at, &uri));
+        let call = tokio::time::timeout(patience, fetch(&mut link, at, &uri));
         match call.await.unwrap_or(Err(WatchError::Silent)) {
             Ok(list) => {
                 if failures > 0 {
                     info!("discovery is back at {}", list.index);
                 }
-                failures = 0;
+                (failures, wait) = (0, WAIT);
                 // Changes against a newer list than the answer's: discovery began anew, so take it whole.
                 let gap = !list.snapshot && (whole || list.index < index);
                 if !gap {
@@ -157,6 +170,7 @@
                 if asked {
                     host.members(ListUpdate::Lost, &List::default());
                     host.followed().await; // when to ask again is the module's to say
+                    wait = Duration::ZERO;
                 } else {
                     tokio::time::sleep(BACKOFF * (1 << failures.min(4)) / 2).await;
                 }
--- a/src/net/host.rs
+++ b/src/net/host.rs
@@ -29,6 +29,10 @@
 
 struct Live {
     call: Rc<Call>,
+    /// How long after the first send that may have run backends still drop a repeat, for a keyed class.
+    window: Option<Micros>,
+    /// When the first attempt that may have run was sent, of those that have ended.
+    ran: Option<Time>,
     answer: oneshot::Sender<Answer>,
     deadline: Time,
     attempts: u32,
@@ -120,7 +124,7 @@
 
     /// Takes a request; `arrival.request` is given here.
     pub fn request(
-        self: &Rc<Self>, mut arrival: Arrival, call: Call,
+        self: &Rc<Self>, mut arrival: Arrival, call: Call, effect: Effect,
     ) -> (RequestId, oneshot::Receiver<Answer>) {
         let (answer, wait) = oneshot::channel();
         let id = {
@@ -128,7 +132,12 @@
             s.last += 1;
             let id = RequestId(s.last);
             let deadline = self.clock.now() + arrival.time_left;
-            s.requests.insert(id, Live { call: Rc::new(call), answer, deadline, attempts: 0 });
+            let window = match effect {
+                Effect::Keyed(_, window) => Some(window),
+                _ => None,
+            };
+            let call = Rc::new(call);
+            s.requests.insert(id, Live { call, window, ran: None, answer, deadline, attempts: 0 });
             s.counts.requests += 1;
             id
         };
@@ -188,7 +197,6 @@
         {
             let mut s = self.state.borrow_mut();
             let s = &mut *s;
-            let mut stale = Vec::new();
             if matches!(update, ListUpdate::Full | ListUpdate::Cached) {
                 s.backends.iter_mut().for_each(|b| b.state = BackendState::Gone);
             }
@@ -205,9 +213,8 @@
                 }
                 backends.push(s.names.entry(&e.row, id));
             }
-            let ids = s.backends.iter().enumerate().filter(|(_, b)| b.state != BackendState::Ready);
-            stale.extend(ids.map(|(n, _)| BackendId(n as u32)));
-            stale.into_iter().for_each(|id| self.pool.close_idle(id));
+            let shut = s.backends.iter().enumerate().filter(|(_, b)| b.state != BackendState::Ready);
+            self.pool.shut(shut.map(|(n, _)| BackendId(n as u32)).collect());
         }
         self.tell(Event::Members { update, backends });
     }
@@ -230,6 +237,9 @@
                 Outcome::NeverSent => s.counts.unsent += 1,
                 _ => {}
             }
+            if let Some(live) = s.requests.get_mut(&request).filter(|_| !outcome.never_ran()) {
+                live.ran = Some(live.ran.map_or(flight.sent, |at| at.min(flight.sent)));
+            }
             if let Some(served) = served {
                 if let Some(live) = s.requests.remove(&request) {
                     s.counts.served += 1;
@@ -300,9 +310,13 @@
         s.counts.attempts += 1;
         let (call, deadline) = (live.call.clone(), self.clock.instant(live.deadline));
         let Some(to) = s.backends.get(backend.0 as usize).map(|b| b.address) else { return };
+        // A keyed repeat that leaves after the window, its connection being slow to come up, would run again.
+        let earlier = (0..attempt.0).filter_map(|no| s.attempts.get(&(request, AttemptNo(no))));
+        let first = earlier.map(|f| f.sent).chain(live.ran).min();
+        let send_by = first.zip(live.window).map(|(at, window)| at + window);
         let host = self.clone();
         let task = tokio::task::spawn_local(async move {
-            let may_send = || host.ready(backend);
+            let may_send = || host.may_send(request, backend, send_by);
             let ended = host.pool.attempt(backend, to, &call, deadline, may_send).await;
             host.attempt_ended(request, attempt, ended);
         });
@@ -310,10 +324,13 @@
         s.attempts.insert((request, attempt), flight);
     }
 
-    /// The list allows new requests to the backend.
-    fn ready(&self, id: BackendId) -> bool {
+    /// At the moment of the first byte: the list still allows it, the request still waits for it, and a repeat
+    /// is still one that is dropped.
+    fn may_send(&self, request: RequestId, backend: BackendId, send_by: Option<Time>) -> bool {
         let s = self.state.borrow();
-        s.backends.get(id.0 as usize).is_some_and(|b| b.state == BackendState::Ready)
+        s.backends.get(backend.0 as usize).is_some_and(|b| b.state == BackendState::Ready)
+            && s.requests.contains_key(&request)
+            && send_by.is_none_or(|at| self.clock.now() < at)
     }
 
     /// Fires the module's timers for as long as the program runs.
@@ -383,3 +400,57 @@
         let _ = live.answer.send(answer);
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use shaletide::settings::Network;
+
+    /// Each thing that may change while a connection comes up stops the send: the list, the request's end,
+    /// and the end of the time in which a keyed repeat is dropped.
+    #[tokio::test]
+    async fn the_first_byte_waits_for_list_request_and_window() {
+        let second = Micros(1_000_000);
+        let network = Network {
+            connect_timeout: second,
+            conn_idle: second,
+            max_retry_after: second,
+            deadlines: vec![second],
+        };
+        let balancer = Balancer::new(Config::example(), 1).unwrap();
+        let host = Host::new(balancer, Names::default(), Clock::new(), Rc::new(Pool::new(&network, 4)));
+        let news = |index: u64, status: &str| -> List {
+            let entry = serde_json::json!({"name": "b", "address": "127.0.0.1:9", "status": status});
+            List { index, snapshot: false, endpoints: vec![entry] }
+        };
+        let scope = tokio::task::LocalSet::new();
+        scope
+            .run_until(async {
+                host.members(ListUpdate::Changes, &news(1, "SERVING"));
+                let arrival = Arrival {
+                    request: RequestId(0),
+                    class: ClassId(0),
+                    tenant: None,
+                    time_left: Micros(60_000_000),
+                    work_hint: None,
+                    repeat: false,
+                };
+                let call = Call {
+                    method: hyper::Method::GET,
+                    uri: hyper::Uri::from_static("/read/k"),
+                    headers: hyper::HeaderMap::new(),
+                    body: bytes::Bytes::new(),
+                };
+                let (id, _wait) = host.request(arrival, call, Effect::Free);
+                let (now, b) = (host.clock.now(), BackendId(0));
+                assert!(host.may_send(id, b, None) && host.may_send(id, b, Some(now + Micros(60_000_000))));
+                assert!(!host.may_send(id, b, Some(now)), "the window is over");
+                assert!(!host.may_send(RequestId(99), b, None), "the request is over");
+                host.members(ListUpdate::Changes, &news(2, "DRAINING"));
+                assert!(!host.may_send(id, b, None), "the backend drains");
+                host.client_gone(id);
+                assert!(host.state.borrow().attempts.is_empty(), "nothing is out for a client that left");
+            })
+            .await;
+    }
+}
--- a/src/net/server.rs
+++ b/src/net/server.rs
@@ -31,6 +31,12 @@
 /// Connections over the bound, out of the reserve: each is closed after its answer.
 const OVER_BOUND: usize = 24;
 const BACKLOG: u32 = 1024;
+/// A head that is not whole after this time holds its connection no more where room is needed.
+const HEAD_PATIENCE: Micros = Micros(5_000_000);
+/// A connection that was told to end and has not is cut after this time: its client reads nothing.
+const CLOSE_PATIENCE: Duration = Duration::from_secs(1);
+/// Lines about a failing listener come no faster.
+const ACCEPT_LOG: Micros = Micros(1_000_000);
 
 /// What requests are checked against.
 pub struct Rules {
@@ -42,7 +48,10 @@
 struct Client {
     stream: Stream,
     busy: Cell<bool>,
-    since: Cell<u64>,
+    /// When it was accepted or last answered.
+    since: Cell<Time>,
+    /// It was chosen to make room.
+    leaving: Cell<bool>,
     close: Notify,
 }
 
@@ -54,6 +63,7 @@
     next: Cell<u64>,
     stopping: Cell<bool>,
     left: Notify,
+    told: Cell<Time>,
 }
 
 pub fn listen(at: SocketAddr) -> std::io::Result<TcpListener> {
@@ -65,9 +75,9 @@
 
 impl Server {
     pub fn new(host: Rc<Host>, rules: Rules, max: usize) -> Rc<Server> {
-        let (clients, next, stopping, left) =
-            (RefCell::default(), Cell::new(0), Cell::new(false), Notify::new());
-        Rc::new(Server { host, rules, max, clients, next, stopping, left })
+        let (clients, next, told) = (RefCell::default(), Cell::new(0), Cell::default());
+        let (stopping, left) = (Cell::new(false), Notify::new());
+        Rc::new(Server { host, rules, max, clients, next, stopping, left, told })
     }
 
     pub fn clients(&self) -> usize {
@@ -118,7 +128,11 @@
             Err(e) => {
                 // Out of descriptors, or a client that left in the queue: never the end of the program.
                 let made_room = self.host.pool.close_oldest() || self.close_longest_idle();
-                warn!("accept: {e}");
+                let now = self.host.clock.now();
+                if now - self.told.get() >= ACCEPT_LOG {
+                    self.told.set(now);
+                    warn!("accept: {e}; {} clients, {} upstreams", self.clients(), self.host.pool.open());
+                }
                 if !made_room || e.kind() != std::io::ErrorKind::ConnectionAborted {
                     tokio::time::sleep(Duration::from_millis(5)).await;
                 }
@@ -126,11 +140,17 @@
         }
     }
 
+    /// The one that was idle longest leaves; where all are in use, one that never finished its head.
     fn close_longest_idle(&self) -> bool {
+        let now = self.host.clock.now();
         let clients = self.clients.borrow();
-        let idle = clients.values().filter(|c| !c.busy.get() && !c.stream.stirred());
-        let first = idle.min_by_key(|c| c.since.get());
-        first.inspect(|c| c.close.notify_one()).is_some()
+        let free = || clients.values().filter(|c| !c.busy.get() && !c.leaving.get());
+        let idle = free().filter(|c| !c.stream.stirred()).min_by_key(|c| c.since.get());
+        let stale = || free().filter(|c| now - c.since.get() > HEAD_PATIENCE).min_by_key(|c| c.since.get());
+        let Some(client) = idle.or_else(stale) else { return false };
+        client.leaving.set(true); // another call at the same moment chooses another
+        client.close.notify_one();
+        true
     }
 
     fn take_in(self: &Rc<Self>, tcp: TcpStream) {
@@ -139,9 +159,9 @@
         }
         let key = self.next.get();
         self.next.set(key + 1);
-        let since = Cell::new(self.host.clock.now().0);
-        let client =
-            Rc::new(Client { stream: Stream::new(tcp), busy: Cell::new(false), since, close: Notify::new() });
+        let (stream, since) = (Stream::new(tcp), Cell::new(self.host.clock.now()));
+        let (busy, leaving, close) = (Cell::new(false), Cell::new(false), Notify::new());
+        let client = Rc::new(Client { stream, busy, since, leaving, close });
         self.clients.borrow_mut().insert(key, client.clone());
         let server = self.clone();
         tokio::task::spawn_local(async move {
@@ -155,7 +175,7 @@
         let service = service_fn(|request| async {
             client.busy.set(true);
             let answer = self.answer(request).await;
-            client.since.set(self.host.clock.now().0);
+            client.since.set(self.host.clock.now());
             client.stream.mark_idle();
             client.busy.set(false);
             Ok::<_, Infallible>(answer)
@@ -163,10 +183,15 @@
         let mut builder = http1::Builder::new();
         builder.max_buf_size(MAX_BODY);
         let mut conn = pin!(builder.serve_connection(client.stream.clone(), service));
+        let mut cut = pin!(tokio::time::sleep(Duration::MAX));
         loop {
             tokio::select! {
                 _ = conn.as_mut() => return,
+                _ = cut.as_mut(), if client.leaving.get() && !client.busy.get() => return,
                 _ = client.close.notified() => {
+                    if client.leaving.get() {
+                        cut.as_mut().reset(tokio::time::Instant::now() + CLOSE_PATIENCE);
+                    }
                     // A request that has just come is answered first; `answer` then ends the connection.
                     if client.busy.get() || !client.stream.stirred() {
                         conn.as_mut().graceful_shutdown();
@@ -233,7 +258,8 @@
         strip_hop_by_hop(&mut headers);
         let origin = head.uri.path_and_query().map(|p| p.as_str().parse());
         let uri = origin.and_then(Result::ok).ok_or(bad("the target has no path\n"))?;
-        let (id, answer) = self.host.request(arrival, Call { method: head.method, uri, headers, body });
+        let call = Call { method: head.method, uri, headers, body };
+        let (id, answer) = self.host.request(arrival, call, self.rules.effects[class.0]);
         let mut owed = Owed { host: &self.host, id, open: true };
         let mut answer = pin!(answer);
         let answer = tokio::select! {
--- a/src/net/upstream.rs
+++ b/src/net/upstream.rs
@@ -10,7 +10,7 @@
 use shaletide::settings::Network;
 use shaletide::{BackendId, Outcome};
 use std::cell::{Cell, RefCell};
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::future::{poll_fn, Future};
 use std::net::SocketAddr;
 use std::pin::pin;
@@ -66,6 +66,7 @@
 /// Idle connections by backend, the most recently used last.
 pub struct Pool {
     idle: RefCell<HashMap<BackendId, Vec<Conn>>>,
+    shut: RefCell<HashSet<BackendId>>,
     open: Rc<Cell<usize>>,
     max: usize,
     keep: Duration,
@@ -77,6 +78,7 @@
     pub fn new(network: &Network, max: usize) -> Pool {
         Pool {
             idle: RefCell::default(),
+            shut: RefCell::default(),
             open: Rc::default(),
             max,
             keep: span(network.conn_idle.times(IDLE_PART)),
@@ -106,14 +108,18 @@
     }
 
     fn put(&self, id: BackendId, mut c: Conn) {
+        if self.shut.borrow().contains(&id) {
+            return;
+        }
         c.since = Instant::now();
         c.stream.mark_idle();
         self.idle.borrow_mut().entry(id).or_default().push(c);
     }
 
-    /// Closes the idle connections to a backend that is to get nothing new.
-    pub fn close_idle(&self, id: BackendId) {
-        self.idle.borrow_mut().remove(&id);
+    /// These backends are to get nothing new: no connection to them is kept idle.
+    pub fn shut(&self, ids: HashSet<BackendId>) {
+        self.idle.borrow_mut().retain(|id, _| !ids.contains(id));
+        *self.shut.borrow_mut() = ids;
     }
 
     /// Closes the connection that was idle longest; false when there is none.
@@ -196,7 +202,7 @@
                     let next = poll_fn(|cx| Poll::Ready(next.as_mut().poll(cx))).await;
                     matches!(next, Poll::Ready(Some(Ok(()))))
                 };
-                if again && may_send() {
+                if again {
                     self.put(id, c);
                 }
                 match (outcome, body) {
--- a/tests/proxy.rs
+++ b/tests/proxy.rs
@@ -299,6 +299,22 @@
     assert!(idle[0].ended(), "the one that was idle longest went first");
 }
 
+/// Where every connection holds half of a head, none is idle: after a while they make way all the same.
+#[test]
+fn heads_that_never_end_do_not_shut_others_out() {
+    let backend = BackendServer::start(|_| ok("x"));
+    let proxy = Proxy::with(&[entry("b0", backend.address, "SERVING")], 80, SETTINGS);
+    let mut slow: Vec<Client> = (0..40)
+        .map(|_| {
+            let mut client = proxy.client();
+            client.send("GET /read/k HTTP/1.1\r\nHost: s\r\nX-Corr");
+            client
+        })
+        .collect();
+    assert_eq!(proxy.ask(&read(3.0)).status(), 200);
+    assert!(slow[0].ended());
+}
+
 /// On SIGTERM what is under way is answered, and so is what comes while clients do not know of it yet.
 #[test]
 fn a_graceful_shutdown_answers_everything_and_ends() {
