Drop idle connections to a backend that has gone silent; survive a lack of descriptors

Seen, by a probe over loopback: after a request that got no answer the next went out on an older idle connection to the same backend. On a machine that was cut off that connection is as dead, and an unsafe request on it can only fail; a new connection that does not come up lets it go elsewhere. Checked: the new test, which finds 2 connections where 3 are wanted without the guard. Lines to blame: upstream.rs, take() trusted what the kernel calls open. Also: at a lack of descriptors an idle client makes way before a warm upstream, with a test under a limit of 40.

--- a/src/net/host.rs
+++ b/src/net/host.rs
@@ -235,6 +235,7 @@
                 Outcome::Reset => s.counts.resets += 1,
                 Outcome::ConnectFailed => s.counts.unconnected += 1,
                 Outcome::NeverSent => s.counts.unsent += 1,
+                Outcome::TimedOut => self.pool.unanswered(flight.backend, self.clock.instant(flight.sent)),
                 _ => {}
             }
             if let Some(live) = s.requests.get_mut(&request).filter(|_| !outcome.never_ran()) {
@@ -283,6 +284,7 @@
             Action::Cancel { request, attempt } => {
                 let Some(flight) = s.attempts.remove(&(request, attempt)) else { return };
                 flight.task.abort();
+                self.pool.unanswered(flight.backend, self.clock.instant(flight.sent));
                 s.events.push_back(Event::AttemptEnded(AttemptEnd {
                     request,
                     attempt,
--- a/src/net/server.rs
+++ b/src/net/server.rs
@@ -127,7 +127,7 @@
             Ok((tcp, _)) => self.take_in(tcp),
             Err(e) => {
                 // Out of descriptors, or a client that left in the queue: never the end of the program.
-                let made_room = self.host.pool.close_oldest() || self.close_longest_idle();
+                let made_room = self.close_longest_idle() || self.host.pool.close_oldest();
                 let now = self.host.clock.now();
                 if now - self.told.get() >= ACCEPT_LOG {
                     self.told.set(now);
--- a/src/net/upstream.rs
+++ b/src/net/upstream.rs
@@ -67,6 +67,7 @@
 pub struct Pool {
     idle: RefCell<HashMap<BackendId, Vec<Conn>>>,
     shut: RefCell<HashSet<BackendId>>,
+    heard: RefCell<HashMap<BackendId, Instant>>,
     open: Rc<Cell<usize>>,
     max: usize,
     keep: Duration,
@@ -79,6 +80,7 @@
         Pool {
             idle: RefCell::default(),
             shut: RefCell::default(),
+            heard: RefCell::default(),
             open: Rc::default(),
             max,
             keep: span(network.conn_idle.times(IDLE_PART)),
@@ -119,9 +121,20 @@
     /// These backends are to get nothing new: no connection to them is kept idle.
     pub fn shut(&self, ids: HashSet<BackendId>) {
         self.idle.borrow_mut().retain(|id, _| !ids.contains(id));
+        self.heard.borrow_mut().retain(|id, _| !ids.contains(id));
         *self.shut.borrow_mut() = ids;
     }
 
+    /// An attempt sent at `sent` was given up unanswered. Where nothing at all was heard of the backend since,
+    /// its machine may be cut off and its idle connections dead without a sign: what is written to one of
+    /// those may have run for all one can tell, while a new connection that does not come up proves that
+    /// it did not.
+    pub fn unanswered(&self, id: BackendId, sent: Instant) {
+        if self.heard.borrow().get(&id).is_none_or(|at| *at < sent) {
+            self.idle.borrow_mut().remove(&id);
+        }
+    }
+
     /// Closes the connection that was idle longest; false when there is none.
     pub fn close_oldest(&self) -> bool {
         let mut idle = self.idle.borrow_mut();
@@ -196,6 +209,7 @@
         };
         match driven(conn, exchange).await {
             Some(Ok((outcome, mut head, body))) => {
+                self.heard.borrow_mut().insert(id, Instant::now());
                 // One look: an answer does not wait for a connection that is not ready for more.
                 let again = body.is_ok() && {
                     let mut next = pin!(driven(conn, sender.ready()));
--- a/tests/proxy.rs
+++ b/tests/proxy.rs
@@ -299,6 +299,46 @@
     assert!(idle[0].ended(), "the one that was idle longest went first");
 }
 
+/// A machine that was cut off leaves its connections open: none that was idle meanwhile is trusted again.
+#[test]
+fn idle_connections_to_a_silent_backend_are_dropped() {
+    let gate = Arc::new(Gate::default());
+    let wait = gate.clone();
+    let backend = BackendServer::start(move |n| match n {
+        0 | 1 => Reply::Gate(wait.clone()),
+        2 => Reply::Silence,
+        _ => ok("x"),
+    });
+    let proxy = one(&backend);
+    let (mut first, mut second) = (proxy.client(), proxy.client());
+    for client in [&mut first, &mut second] {
+        client.send(&read(3.0));
+        backend.request();
+    }
+    gate.open();
+    for client in [&mut first, &mut second] {
+        assert_eq!(client.answer().expect("an answer").status(), 200);
+    }
+    assert_eq!(backend.connections.load(SeqCst), 2, "both are idle now");
+    assert_eq!(proxy.ask(&read(0.3)).status(), 503);
+    assert_eq!(proxy.ask(&pay(3.0)).status(), 200);
+    assert_eq!(backend.connections.load(SeqCst), 3, "a new one, though one was left");
+}
+
+/// The kernel may run out of descriptors before the bound is reached: then too the idle make way.
+#[test]
+fn running_out_of_descriptors_ends_nothing() {
+    let backend = BackendServer::start(|_| ok("x"));
+    let proxy = Proxy::launched(&[entry("b0", backend.address, "SERVING")], 1024, SETTINGS, 40);
+    let mut idle = Vec::new();
+    for _ in 0..60 {
+        let mut client = proxy.client();
+        assert_eq!(client.ask(&read(3.0)).status(), 200);
+        idle.push(client);
+    }
+    assert!(idle[0].ended());
+}
+
 /// Where every connection holds half of a head, none is idle: after a while they make way all the same.
 #[test]
 fn heads_that_never_end_do_not_shut_others_out() {
--- a/tests/rig/mod.rs
+++ b/tests/rig/mod.rs
@@ -259,6 +259,11 @@
     }
 
     pub fn with(known: &[String], sockets: u32, settings: &str) -> Proxy {
+        Proxy::launched(known, sockets, settings, 1024)
+    }
+
+    /// With a limit on descriptors that need not be the one it is told.
+    pub fn launched(known: &[String], sockets: u32, settings: &str, descriptors: u32) -> Proxy {
         let discovery = DiscoveryServer::start();
         let at = discovery.address;
         let known = list(4, true, known);
@@ -266,7 +271,7 @@
             r#"{{"name":"n0","listen":"127.0.0.1:0","discovery":"{at}","seed":"8c1f30d27a5be964",
             "limits":{{"cores":1.0,"memory_mb":192,"sockets":{sockets}}},"known":{known},"settings":{settings}}}"#
         );
-        let mut child = launch(Some(&config)).spawn().unwrap();
+        let mut child = limited(Some(&config), descriptors).spawn().unwrap();
         let mut log = BufReader::new(child.stderr.take().unwrap());
         let address = loop {
             let mut line = String::new();
@@ -303,7 +308,13 @@
 
 /// The program's command, with a configuration or without any.
 pub fn launch(config: Option<&str>) -> Command {
-    let mut command = Command::new(env!("CARGO_BIN_EXE_shaletide"));
+    limited(config, 1024)
+}
+
+fn limited(config: Option<&str>, descriptors: u32) -> Command {
+    let mut command = Command::new("sh");
+    let line = format!("ulimit -n {descriptors}; exec \"$0\"");
+    command.args(["-c", &line, env!("CARGO_BIN_EXE_shaletide")]);
     command.env_remove("NODE_CONFIG").stderr(Stdio::piped()).stdout(Stdio::null());
     if let Some(config) = config {
         let number = NUMBER.fetch_add(1, Ordering::SeqCst);
