Name backends in the log when they are first met

Seen: the module's lines ('backend 3 ejected') could not be traced to a machine at the usual level. Checked: one line a backend, so the log stays bounded. Ruled out: a line per list change, which a rolling deploy would multiply. Lines to blame: host.rs members() named them at debug only.

--- a/src/net/host.rs
+++ b/src/net/host.rs
@@ -206,10 +206,14 @@
                 let known = Known { address: e.address, state: e.state };
                 match s.backends.get_mut(id.0 as usize) {
                     Some(b) => *b = known,
-                    None => s.backends.push(known),
+                    None => {
+                        // The module's lines speak of numbers.
+                        info!("backend {} is {} at {}", id.0, e.name, e.address);
+                        s.backends.push(known);
+                    }
                 }
                 if update != ListUpdate::Cached {
-                    debug!("backend {} is {} {:?} at {}", id.0, e.name, e.state, e.address);
+                    debug!("backend {} is {:?} at {}", id.0, e.state, e.address);
                 }
                 backends.push(s.names.entry(&e.row, id));
             }
