SIGHUP takes the new discovery address instead of ending the program

Checked: main.rs installed handlers for SIGTERM and SIGINT only, after the configuration was read; the default action of SIGHUP ends a process. Ruled out: nothing else ended it, the log stops without a line. Change: handlers stand before all else; on SIGHUP the file is read again, a bad one is logged and the old address kept; the watch drops its call and begins at the new address with the whole list.

--- a/src/main.rs
+++ b/src/main.rs
@@ -3,7 +3,7 @@
 
 mod net;
 
-use net::config::{Node, NodeError};
+use net::config::{self, Node, NodeError};
 use net::host::Host;
 use net::server::{Rules, Server};
 use net::upstream::Pool;
@@ -13,7 +13,8 @@
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::signal::unix::{signal, SignalKind};
-use tracing::info;
+use tokio::sync::watch;
+use tracing::{info, warn};
 
 /// Descriptors that are kept for all but clients and upstreams.
 const RESERVE: usize = 64;
@@ -22,12 +23,9 @@
 fn main() -> ExitCode {
     let level = std::env::var("NODE_LOG").ok().and_then(|l| l.parse().ok()).unwrap_or(tracing::Level::INFO);
     tracing_subscriber::fmt().with_writer(std::io::stderr).with_ansi(false).with_max_level(level).init();
-    let outcome = Node::read().map_err(|e| e.to_string()).and_then(|node| {
-        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
-        let local = tokio::task::LocalSet::new();
-        local.block_on(&runtime.map_err(|e| format!("no event loop: {e}"))?, run(node))
-    });
-    match outcome {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+    let local = tokio::task::LocalSet::new();
+    match runtime.map_err(|e| format!("no event loop: {e}")).and_then(|r| local.block_on(&r, run())) {
         Ok(()) => ExitCode::SUCCESS,
         Err(text) => {
             eprintln!("shaletide: {text}");
@@ -36,10 +34,13 @@
     }
 }
 
-async fn run(node: Node) -> Result<(), String> {
+async fn run() -> Result<(), String> {
+    // Before all else: until its handler stands, a signal ends the program at once.
+    let on = |kind| signal(kind).map_err(|e| format!("no signals: {e}"));
+    let mut hangup = on(SignalKind::hangup())?;
+    let (mut term, mut interrupt) = (on(SignalKind::terminate())?, on(SignalKind::interrupt())?);
+    let node = Node::read().map_err(|e| e.to_string())?;
     let clock = Clock::new();
-    let mut term = signal(SignalKind::terminate()).map_err(|e| format!("no signals: {e}"))?;
-    let mut interrupt = signal(SignalKind::interrupt()).map_err(|e| format!("no signals: {e}"))?;
     let room = node.sockets.saturating_sub(RESERVE).max(2);
     let pool = Rc::new(Pool::new(&node.network, room / 2));
     let mode = node.config.discovery;
@@ -59,7 +60,19 @@
     info!("{} listens on {at}, {} backends known", node.name, node.known.endpoints.len());
     tokio::task::spawn_local(host.clone().timers());
     tokio::task::spawn_local(pool.sweep());
-    tokio::task::spawn_local(discovery::watch(host.clone(), node.discovery, node.known.index, mode));
+    let (moved, discovery) = watch::channel(node.discovery);
+    tokio::task::spawn_local(discovery::watch(host.clone(), discovery, node.known.index, mode));
+    tokio::task::spawn_local(async move {
+        while hangup.recv().await.is_some() {
+            match config::discovery() {
+                Ok(at) if moved.send_if_modified(|old| std::mem::replace(old, at) != at) => {
+                    info!("SIGHUP: discovery is now at {at}");
+                }
+                Ok(at) => info!("SIGHUP: discovery is still at {at}"),
+                Err(e) => warn!("SIGHUP: {e}; discovery stays at {}", *moved.borrow()),
+            }
+        }
+    });
     let server = Server::new(host.clone(), rules, room - room / 2);
     let reporter = server.clone();
     tokio::task::spawn_local(async move {
--- a/src/net/config.rs
+++ b/src/net/config.rs
@@ -1,6 +1,7 @@
 //! `NODE_CONFIG`: what this proxy is told at its start.
 
 use super::discovery::List;
+use serde::de::DeserializeOwned;
 use serde::Deserialize;
 use shaletide::settings::{self, Names, Network};
 use shaletide::Config;
@@ -69,11 +70,26 @@
     }
 }
 
+/// The part of the file that may change while the program runs.
+#[derive(Deserialize)]
+struct Changeable {
+    discovery: SocketAddr,
+}
+
+fn file<T: DeserializeOwned>() -> Result<T, NodeError> {
+    let path = std::env::var("NODE_CONFIG").map_err(|_| NodeError::Unset)?;
+    let text = std::fs::read_to_string(&path).map_err(|e| NodeError::Unreadable(path.clone(), e))?;
+    serde_json::from_str(&text).map_err(|e| NodeError::Malformed(path, e))
+}
+
+/// Where discovery is, as the file has it now.
+pub fn discovery() -> Result<SocketAddr, NodeError> {
+    file().map(|c: Changeable| c.discovery)
+}
+
 impl Node {
     pub fn read() -> Result<Node, NodeError> {
-        let path = std::env::var("NODE_CONFIG").map_err(|_| NodeError::Unset)?;
-        let text = std::fs::read_to_string(&path).map_err(|e| NodeError::Unreadable(path.clone(), e))?;
-        let file: File = serde_json::from_str(&text).map_err(|e| NodeError::Malformed(path, e))?;
+        let file: File = file()?;
         let (config, names) = settings::read(&file.settings).map_err(NodeError::Settings)?;
         let network = settings::network(&file.settings).map_err(NodeError::Settings)?;
         let hex = file.seed.as_str().and_then(|s| u64::from_str_radix(s, 16).ok());
--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -15,6 +15,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::TcpStream;
+use tokio::sync::watch::Receiver;
 use tracing::{info, warn};
 
 /// One call waits so long for news.
@@ -125,14 +126,29 @@
     conn: http1::Connection<Stream, Empty<Bytes>>,
 }
 
-/// Keeps the list up to date for as long as the program runs.
-pub async fn watch(host: Rc<Host>, at: SocketAddr, mut index: u64, mode: Discovery) {
+/// Keeps the list up to date for as long as the program runs. When discovery moves the call that is out is
+/// dropped at once, as it may wait for long. An index means nothing to another discovery: the list is taken
+/// whole there.
+pub async fn watch(host: Rc<Host>, mut moved: Receiver<SocketAddr>, known: u64, mode: Discovery) {
+    // An agent's answers cost nothing: begin with the truth.
+    let mut index = (mode != Discovery::Push).then_some(known);
+    loop {
+        let at = *moved.borrow_and_update();
+        tokio::select! {
+            _ = follow(&host, at, index, mode) => {}
+            Ok(()) = moved.changed() => index = None,
+        }
+    }
+}
+
+/// Follows one discovery for ever, from that index on or from the whole list.
+async fn follow(host: &Rc<Host>, at: SocketAddr, from: Option<u64>, mode: Discovery) {
     let asked = mode != Discovery::Push;
-    let mut whole = !asked; // an agent's answers cost nothing: begin with the truth
+    let (mut whole, mut index) = (from.is_none(), from.unwrap_or(0));
     let (mut link, mut failures) = (None, 0u32);
     // A call of the module's is answered once, by what it missed; only what follows waits for news.
     let mut wait = WAIT;
-    if asked {
+    if asked && !whole {
         host.followed().await;
         wait = Duration::ZERO;
     }
--- a/tests/proxy.rs
+++ b/tests/proxy.rs
@@ -368,7 +368,7 @@
     }
     busy.send(&pay(3.0));
     backend.request();
-    proxy.terminate();
+    proxy.signal("TERM");
     // Until the signal has arrived there is nothing to see of it: the first answer that says so shows it.
     loop {
         let answer = proxy.ask("GET /-/ready HTTP/1.1\r\nHost: s\r\n\r\n");
--- a/tests/rig/mod.rs
+++ b/tests/rig/mod.rs
@@ -4,6 +4,7 @@
 
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicU32, AtomicU64, Ordering};
 use std::sync::{mpsc, Arc, Condvar, Mutex};
@@ -251,6 +252,8 @@
     pub child: Child,
     pub address: SocketAddr,
     pub discovery: DiscoveryServer,
+    /// Where its configuration is, and what stands there.
+    pub config: (PathBuf, String),
 }
 
 impl Proxy {
@@ -271,7 +274,8 @@
             r#"{{"name":"n0","listen":"127.0.0.1:0","discovery":"{at}","seed":"8c1f30d27a5be964",
             "limits":{{"cores":1.0,"memory_mb":192,"sockets":{sockets}}},"known":{known},"settings":{settings}}}"#
         );
-        let mut child = limited(Some(&config), descriptors).spawn().unwrap();
+        let path = written(&config);
+        let mut child = limited(Some(&path), descriptors).spawn().unwrap();
         let mut log = BufReader::new(child.stderr.take().unwrap());
         let address = loop {
             let mut line = String::new();
@@ -281,7 +285,7 @@
             }
         };
         std::thread::spawn(move || std::io::copy(&mut log, &mut std::io::stderr()));
-        Proxy { child, address, discovery }
+        Proxy { child, address, discovery, config: (path, config) }
     }
 
     pub fn client(&self) -> Client {
@@ -293,10 +297,16 @@
         self.client().ask(request)
     }
 
-    pub fn terminate(&self) {
-        let done = Command::new("kill").args(["-TERM", &self.child.id().to_string()]).status().unwrap();
+    pub fn signal(&self, name: &str) {
+        let done = Command::new("kill").args(["-s", name, &self.child.id().to_string()]).status().unwrap();
         assert!(done.success());
     }
+
+    /// Another configuration, in which discovery is elsewhere.
+    pub fn move_discovery(&self, to: SocketAddr) {
+        let moved = self.config.1.replace(&self.discovery.address.to_string(), &to.to_string());
+        std::fs::write(&self.config.0, moved).unwrap();
+    }
 }
 
 impl Drop for Proxy {
@@ -308,18 +318,22 @@
 
 /// The program's command, with a configuration or without any.
 pub fn launch(config: Option<&str>) -> Command {
-    limited(config, 1024)
+    limited(config.map(written).as_deref(), 1024)
+}
+
+fn written(config: &str) -> PathBuf {
+    let number = NUMBER.fetch_add(1, Ordering::SeqCst);
+    let path = std::env::temp_dir().join(format!("shaletide-{}-{number}.json", std::process::id()));
+    std::fs::write(&path, config).unwrap();
+    path
 }
 
-fn limited(config: Option<&str>, descriptors: u32) -> Command {
+fn limited(config: Option<&Path>, descriptors: u32) -> Command {
     let mut command = Command::new("sh");
     let line = format!("ulimit -n {descriptors}; exec \"$0\"");
     command.args(["-c", &line, env!("CARGO_BIN_EXE_shaletide")]);
     command.env_remove("NODE_CONFIG").stderr(Stdio::piped()).stdout(Stdio::null());
-    if let Some(config) = config {
-        let number = NUMBER.fetch_add(1, Ordering::SeqCst);
-        let path = std::env::temp_dir().join(format!("shaletide-{}-{number}.json", std::process::id()));
-        std::fs::write(&path, config).unwrap();
+    if let Some(path) = config {
         command.env("NODE_CONFIG", path);
     }
     command
