One reset no longer ejects a backend

Logged at each give-up what the module saw of its backends: one to four of nine were ejected, all the others were full; the log counts 73 ejections for a reset in 60 s and 3 for anything else. Checked and ruled out: the cold budget (never binding), cold starts (readiness 1.00 within a second), the error share (0), the list. To blame: the last arm of Balancer::learn, which ejects at the first reset, though connections break at all backends alike. Change: a reset counts as an error does; two close together eject.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -261,8 +261,9 @@
             Outcome::Cancelled | Outcome::NeverSent => {}
             // A heavy request alone is no illness: other answers came back meanwhile.
             Outcome::TimedOut if p.answered >= sent => {}
-            Outcome::Error => {
-                p.answered = now;
+            // An answer may be spoilt and a connection break at any of them: it takes two close together.
+            Outcome::Error | Outcome::Reset => {
+                p.answered = if end.outcome == Outcome::Error { now } else { p.answered };
                 p.errors += (1.0 - p.errors) * ERROR_STEP;
                 if p.errors > ERROR_LIMIT || p.ejected.is_some() {
                     self.eject(now, id, end.outcome);
