Requests that can't be read are turned away, and connections that bring none end

Change: request.rs checks head, lengths and id (open ids are kept); a fault ends the connection; hyper's timer ends heads after 2.1 s, bodies have 0.7 s; heads hold 16 KiB; at the bound connections that never sent a whole request go first.

--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -3,6 +3,7 @@
 pub mod config;
 pub mod discovery;
 pub mod host;
+pub mod request;
 pub mod server;
 pub mod stream;
 pub mod upstream;
--- a/src/net/server.rs
+++ b/src/net/server.rs
@@ -1,6 +1,7 @@
 //! Clients: the listener, their connections, and the graceful shutdown.
 
 use super::host::{Answer, Host};
+use super::request::{check, number, Fault};
 use super::stream::Stream;
 use super::upstream::Call;
 use super::{span, strip_hop_by_hop, MAX_BODY};
@@ -10,16 +11,17 @@
 use hyper::header::{HeaderValue, CONNECTION, RETRY_AFTER};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
-use hyper::{HeaderMap, Method, Request, Response, StatusCode};
+use hyper::{Request, Response, StatusCode};
 use shaletide::*;
 use std::cell::{Cell, RefCell};
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::convert::Infallible;
 use std::future::Future;
 use std::net::SocketAddr;
-use std::pin::pin;
+use std::pin::{pin, Pin};
 use std::rc::Rc;
-use std::time::Duration;
+use std::task::{Context, Poll};
+use std::time::{Duration, Instant};
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::sync::Notify;
 use tracing::warn;
@@ -31,8 +33,14 @@
 /// Connections over the bound, out of the reserve: each is closed after its answer.
 const OVER_BOUND: usize = 24;
 const BACKLOG: u32 = 1024;
-/// A head that is not whole after this time holds its connection no more where room is needed.
-const HEAD_PATIENCE: Micros = Micros(5_000_000);
+/// A connection is closed when the head of a request, its first or its next, is not whole after this time.
+const HEAD_PATIENCE: Duration = Duration::from_millis(2100);
+/// The body of a request is whole after this time: with the above under the 3 s that any client is owed.
+const BODY_PATIENCE: Duration = Duration::from_millis(700);
+/// The largest head, to which hyper holds a connection's buffer.
+const MAX_HEAD: usize = 16 * 1024;
+/// A first request that has begun to come is whole after this time, or makes way where room is needed.
+const FIRST_PATIENCE: Micros = Micros(100_000);
 /// A connection that was told to end and has not is cut after this time: its client reads nothing.
 const CLOSE_PATIENCE: Duration = Duration::from_secs(1);
 /// Lines about a failing listener come no faster.
@@ -48,6 +56,8 @@
 struct Client {
     stream: Stream,
     busy: Cell<bool>,
+    /// It has sent a whole request that made sense.
+    proven: Cell<bool>,
     /// When it was accepted or last answered.
     since: Cell<Time>,
     /// It was chosen to make room.
@@ -60,6 +70,8 @@
     rules: Rules,
     max: usize,
     clients: RefCell<HashMap<u64, Rc<Client>>>,
+    /// The ids of the requests that are open.
+    ids: RefCell<HashSet<HeaderValue>>,
     next: Cell<u64>,
     stopping: Cell<bool>,
     left: Notify,
@@ -75,9 +87,9 @@
 
 impl Server {
     pub fn new(host: Rc<Host>, rules: Rules, max: usize) -> Rc<Server> {
-        let (clients, next, told) = (RefCell::default(), Cell::new(0), Cell::default());
-        let (stopping, left) = (Cell::new(false), Notify::new());
-        Rc::new(Server { host, rules, max, clients, next, stopping, left, told })
+        let (clients, ids) = (RefCell::default(), RefCell::default());
+        let (next, stopping, left, told) = (Cell::new(0), Cell::new(false), Notify::new(), Cell::default());
+        Rc::new(Server { host, rules, max, clients, ids, next, stopping, left, told })
     }
 
     pub fn clients(&self) -> usize {
@@ -140,14 +152,16 @@
         }
     }
 
-    /// The one that was idle longest leaves; where all are in use, one that never finished its head.
+    /// One that never sent a whole request leaves, or else the one that was idle longest.
     fn close_longest_idle(&self) -> bool {
         let now = self.host.clock.now();
+        let may_go = |c: &Client| {
+            let coming = c.stream.stirred() && (c.proven.get() || now - c.since.get() < FIRST_PATIENCE);
+            !c.busy.get() && !c.leaving.get() && !coming
+        };
         let clients = self.clients.borrow();
-        let free = || clients.values().filter(|c| !c.busy.get() && !c.leaving.get());
-        let idle = free().filter(|c| !c.stream.stirred()).min_by_key(|c| c.since.get());
-        let stale = || free().filter(|c| now - c.since.get() > HEAD_PATIENCE).min_by_key(|c| c.since.get());
-        let Some(client) = idle.or_else(stale) else { return false };
+        let first = clients.values().filter(|c| may_go(c)).min_by_key(|c| (c.proven.get(), c.since.get()));
+        let Some(client) = first else { return false };
         client.leaving.set(true); // another call at the same moment chooses another
         client.close.notify_one();
         true
@@ -160,8 +174,8 @@
         let key = self.next.get();
         self.next.set(key + 1);
         let (stream, since) = (Stream::new(tcp), Cell::new(self.host.clock.now()));
-        let (busy, leaving, close) = (Cell::new(false), Cell::new(false), Notify::new());
-        let client = Rc::new(Client { stream, busy, since, leaving, close });
+        let (busy, proven, leaving) = (Cell::new(false), Cell::new(false), Cell::new(false));
+        let client = Rc::new(Client { stream, busy, proven, since, leaving, close: Notify::new() });
         self.clients.borrow_mut().insert(key, client.clone());
         let server = self.clone();
         tokio::task::spawn_local(async move {
@@ -174,14 +188,14 @@
     async fn serve(self: &Rc<Self>, client: &Rc<Client>) {
         let service = service_fn(|request| async {
             client.busy.set(true);
-            let answer = self.answer(request).await;
+            let answer = self.answer(client, request).await;
             client.since.set(self.host.clock.now());
             client.stream.mark_idle();
             client.busy.set(false);
             Ok::<_, Infallible>(answer)
         });
         let mut builder = http1::Builder::new();
-        builder.max_buf_size(MAX_BODY);
+        builder.max_buf_size(MAX_HEAD).timer(Timer).header_read_timeout(HEAD_PATIENCE);
         let mut conn = pin!(builder.serve_connection(client.stream.clone(), service));
         let mut cut = pin!(tokio::time::sleep(Duration::MAX));
         loop {
@@ -192,6 +206,9 @@
                     if client.leaving.get() {
                         cut.as_mut().reset(tokio::time::Instant::now() + CLOSE_PATIENCE);
                     }
+                    if client.leaving.get() && !client.proven.get() && !client.busy.get() {
+                        return; // nothing is owed on it
+                    }
                     // A request that has just come is answered first; `answer` then ends the connection.
                     if client.busy.get() || !client.stream.stirred() {
                         conn.as_mut().graceful_shutdown();
@@ -201,65 +218,56 @@
         }
     }
 
-    async fn answer(self: &Rc<Self>, request: Request<Incoming>) -> Response<Full<Bytes>> {
+    async fn answer(self: &Rc<Self>, client: &Client, request: Request<Incoming>) -> Response<Full<Bytes>> {
+        let mut end = false;
         let mut answer = match request.uri().path() {
             "/-/ready" => plain(StatusCode::OK, "ready\n"),
-            _ => self.proxy(request).await.unwrap_or_else(|(status, text)| plain(status, text)),
+            _ => self.proxy(client, request).await.unwrap_or_else(|fault| {
+                end = true; // what comes next on it may be no request at all
+                let (status, text) = fault.answer();
+                plain(status, text)
+            }),
         };
-        if self.stopping.get() || self.clients() > self.max {
+        if end || self.stopping.get() || self.clients() > self.max {
             answer.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
         }
         answer
     }
 
     async fn proxy(
-        self: &Rc<Self>, request: Request<Incoming>,
-    ) -> Result<Response<Full<Bytes>>, (StatusCode, &'static str)> {
+        self: &Rc<Self>, client: &Client, request: Request<Incoming>,
+    ) -> Result<Response<Full<Bytes>>, Fault> {
         let came = self.host.clock.now();
         let (head, body) = request.into_parts();
-        let mut headers = head.headers;
         let class = head.uri.path().split('/').nth(1).and_then(|name| self.host.class(name));
-        let class = class.ok_or((StatusCode::NOT_FOUND, "no such class\n"))?;
-        let bad = |text| (StatusCode::BAD_REQUEST, text);
-        if !headers.contains_key("x-correlation-id") {
-            return Err(bad("X-Correlation-Id is missing\n"));
-        }
-        // A class that is taken for safer than the request says would be repeated to its harm.
-        let keyed = headers.contains_key("idempotency-key");
-        let fits = match self.rules.effects[class.0] {
-            Effect::Free => head.method == Method::GET,
-            Effect::Keyed(..) => head.method == Method::POST && keyed,
-            Effect::Unsafe => head.method == Method::POST,
-        };
-        if !fits {
-            return Err(bad("the method or Idempotency-Key does not fit the class\n"));
-        }
-        let most = self.rules.deadlines[class.0];
-        let left = number(&headers, "x-time-left").map_or(most, Micros::from_secs).min(most);
+        let class = class.ok_or(Fault::NoSuchClass)?;
+        let effect = self.rules.effects[class.0];
+        let (name, left) = check(&head, &body, effect, self.rules.deadlines[class.0])?;
         let deadline = came + Micros(left.0.saturating_sub(self.host.margin().0));
         let body = Limited::new(body, MAX_BODY).collect();
-        let body = match tokio::time::timeout(span(left), body).await {
+        let body = match tokio::time::timeout(span(left).min(BODY_PATIENCE), body).await {
             Ok(Ok(body)) => body.to_bytes(),
-            Ok(Err(e)) if e.is::<LengthLimitError>() => {
-                return Err((StatusCode::PAYLOAD_TOO_LARGE, "the body is over 64 KiB\n"))
-            }
-            Ok(Err(_)) => return Err(bad("the body is malformed\n")),
-            Err(_) => return Err((StatusCode::REQUEST_TIMEOUT, "the body did not come in time\n")),
+            Ok(Err(e)) if e.is::<LengthLimitError>() => return Err(Fault::TooLong),
+            Ok(Err(_)) => return Err(Fault::Body),
+            Err(_) => return Err(Fault::Slow),
         };
+        let mut headers = head.headers;
         let tenant = headers.get("x-account").and_then(|v| v.to_str().ok());
         let arrival = Arrival {
             request: RequestId(0),
             class,
             tenant: tenant.and_then(|name| self.host.tenant(name)),
             time_left: deadline - self.host.clock.now(),
-            work_hint: number(&headers, "x-weight-hint").map(|us| Micros(us as u64)),
+            work_hint: headers.get("x-weight-hint").and_then(number).map(|us| Micros(us as u64)),
             repeat: headers.get("x-repeat").is_some_and(|v| v == "1"),
         };
         strip_hop_by_hop(&mut headers);
         let origin = head.uri.path_and_query().map(|p| p.as_str().parse());
-        let uri = origin.and_then(Result::ok).ok_or(bad("the target has no path\n"))?;
+        let uri = origin.and_then(Result::ok).ok_or(Fault::Target)?;
         let call = Call { method: head.method, uri, headers, body };
-        let (id, answer) = self.host.request(arrival, call, self.rules.effects[class.0]);
+        let _open = Open::new(&self.ids, name).ok_or(Fault::IdInUse)?;
+        client.proven.set(true);
+        let (id, answer) = self.host.request(arrival, call, effect);
         let mut owed = Owed { host: &self.host, id, open: true };
         let mut answer = pin!(answer);
         let answer = tokio::select! {
@@ -306,10 +314,47 @@
     }
 }
 
-/// A header's number, where it holds a sensible one.
-fn number(headers: &HeaderMap, name: &str) -> Option<f64> {
-    let text = headers.get(name)?.to_str().ok()?;
-    text.trim().parse().ok().filter(|n: &f64| n.is_finite() && *n >= 0.0)
+/// Keeps the id of an open request from being used twice.
+struct Open<'a> {
+    ids: &'a RefCell<HashSet<HeaderValue>>,
+    id: HeaderValue,
+}
+
+impl<'a> Open<'a> {
+    fn new(ids: &'a RefCell<HashSet<HeaderValue>>, id: HeaderValue) -> Option<Open<'a>> {
+        let fresh = ids.borrow_mut().insert(id.clone());
+        fresh.then_some(Open { ids, id })
+    }
+}
+
+impl Drop for Open<'_> {
+    fn drop(&mut self) {
+        self.ids.borrow_mut().remove(&self.id);
+    }
+}
+
+/// The clock by which hyper ends connections whose heads do not come.
+#[derive(Clone, Copy)]
+struct Timer;
+
+struct Sleep(Pin<Box<tokio::time::Sleep>>);
+
+impl Future for Sleep {
+    type Output = ();
+    fn poll(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<()> {
+        self.0.as_mut().poll(cx)
+    }
+}
+
+impl hyper::rt::Sleep for Sleep {}
+
+impl hyper::rt::Timer for Timer {
+    fn sleep(&self, span: Duration) -> Pin<Box<dyn hyper::rt::Sleep>> {
+        Box::pin(Sleep(Box::pin(tokio::time::sleep(span))))
+    }
+    fn sleep_until(&self, at: Instant) -> Pin<Box<dyn hyper::rt::Sleep>> {
+        Box::pin(Sleep(Box::pin(tokio::time::sleep_until(at.into()))))
+    }
 }
 
 fn plain(status: StatusCode, text: &'static str) -> Response<Full<Bytes>> {
