A full backend is left alone for a service time, not half a second; nothing unseen is held past half its time

The log of what the module saw at give-ups: four of nine backends 0/3 out and inside the pause after a 'full' while all others were at their room. They turn requests away one by one (a throttle, 40 to 80 in 5 s), not for long. To blame: the arm for Outcome::Full in Balancer::learn, half a second for each, and last_start in look_after, which let a request wait for its aim though that lay past half of its time. Change: the pause is the class's usual time, doubled each time that it is still full, half a second at most; a request that no backend has seen is refused a tick before half of its time.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -24,8 +24,8 @@
 /// Requests that all proxies together hold on one backend: a shared processor at four fifths of its
 /// capacity holds four on average; more only makes every one of them later.
 const HOLD: f64 = 4.0;
-/// Error share from which a backend is ejected: four errors close together reach it, and one request in three.
-/// Spoilt answers and broken connections come from all alike, a few in a hundred: two are chance.
+/// Error share from which a backend is ejected: four errors close together reach it. Spoilt answers and
+/// broken connections come from all alike, a few in a hundred: two are chance.
 const ERROR_LIMIT: f64 = 0.3;
 /// Weight of the newest outcome in a backend's error share.
 const ERROR_STEP: f64 = 0.1;
@@ -237,6 +237,7 @@
 
     /// What an outcome says of the backend, its kind and its class.
     fn learn(&mut self, now: Time, id: BackendId, class: usize, sent: Time, end: &AttemptEnd) {
+        let usual = self.usual(class);
         let Some(p) = self.peers.get_mut(&id) else { return };
         p.out = p.out.saturating_sub(1);
         match end.outcome {
@@ -247,7 +248,7 @@
                 self.overall.add(secs, KIND_SAMPLES);
                 let plain = secs * self.overall.value / self.classes[class].latency.value;
                 self.kinds.entry(p.entry.kind).or_default().latency.add(plain, KIND_SAMPLES);
-                p.answered = now;
+                (p.answered, p.fulls) = (now, 0);
                 p.errors *= 1.0 - ERROR_STEP;
                 p.trials += 1;
                 if p.ejected.is_none() {
@@ -257,8 +258,12 @@
                     self.log(now, format!("backend {} is back", id.0));
                 }
             }
-            // A full backend answers, and is left alone for a moment: busy is not ill.
-            Outcome::Full => p.full_until = now + Micros::from_secs(EJECT_TERM / 2.0),
+            // A full backend answers, and is left alone until it may have finished one, twice as long each
+            // time that it is still full: busy is not ill.
+            Outcome::Full => {
+                let wait = usual.times(f64::from(p.fulls.min(4)).exp2()).secs().min(EJECT_TERM / 2.0);
+                (p.full_until, p.fulls) = (now + Micros::from_secs(wait), p.fulls + 1);
+            }
             Outcome::Cancelled | Outcome::NeverSent => {}
             // A heavy request alone is no illness: other answers came back meanwhile.
             Outcome::TimedOut if p.answered >= sent => {}
@@ -304,8 +309,11 @@
         let mut over = Vec::new();
         for (&id, r) in self.requests.iter().filter(|(_, r)| !r.streaming) {
             let usual = self.usual(r.class);
-            let late_pays = self.cfg.classes[r.class].late_worth > 0.0 && !r.sent.is_empty();
-            let last_start = if late_pays { r.deadline } else { r.aim };
+            // A client whose request nobody has seen is told before half of its time is over.
+            let unseen = r.sent.iter().all(|s| s.never_ran);
+            let late_pays = self.cfg.classes[r.class].late_worth > 0.0 && !unseen;
+            let half = r.came + (r.deadline - r.came).times(0.5) + usual - self.cfg.tick;
+            let last_start = if late_pays { r.deadline } else { r.aim.min(half) };
             let lost = |s: &Sent| s.out && self.peers.get(&s.to.id).is_none_or(|p| p.ejected.is_some());
             let lost = matches!(&r.sent[..], [only] if lost(only));
             // The deadline's own tick would be too late to answer; a request that was held so long
--- a/src/state.rs
+++ b/src/state.rs
@@ -154,6 +154,8 @@
     pub trials: u32,
     /// It was full and is left alone until then.
     pub full_until: Time,
+    /// How often it was full since it last served.
+    pub fulls: u32,
     /// Work sent inside the fall window.
     pub spent: Vec<(Time, f64)>,
 }
--- a/tests/service.rs
+++ b/tests/service.rs
@@ -65,6 +65,24 @@
     assert!(a.count() > before, "ejected for one reset");
 }
 
+/// A backend that turned one request away has room again as soon as it has finished another.
+#[test]
+fn a_full_backend_is_used_again_before_long() {
+    let switch = Arc::new(AtomicBool::new(false));
+    let thrown = switch.clone();
+    let away = || Reply::Answer(503, "X-Unprocessed: 1", String::new());
+    let backend = BackendServer::start(move |_| if thrown.swap(false, SeqCst) { away() } else { ok("x") });
+    let proxy = one(&backend);
+    let mut client = proxy.client();
+    for _ in 0..25 {
+        assert_eq!(client.ask(&read(3.0)).status(), 200);
+    }
+    switch.store(true, SeqCst);
+    assert_eq!(client.ask(&pay(3.0)).status(), 503);
+    // Half of its time is 0.4 s: it is not refused only if the backend is back by then.
+    assert_eq!(client.ask(&pay(0.8)).status(), 200);
+}
+
 /// A new configuration while the program stops: it still ends, with everything answered.
 #[test]
 fn sighup_during_a_shutdown_is_harmless() {
