--- a/src/rules.rs
+++ b/src/rules.rs
@@ -31,7 +31,7 @@
 const ERROR_STEP: f64 = 0.1;
 /// An attempt this many times older than usual is taken for lost: it holds no room any more. Two of them,
 /// with no later answer, mark silence; one may be an answer that never comes.
-const SILENT_AFTER: f64 = 6.0;
+const SILENT_AFTER: f64 = 8.0;
 /// First term of an ejection, s; it doubles with each failed return, twice at most.
 const EJECT_TERM: f64 = 1.0;
 /// Good trials before an ejected backend is trusted again.
