Where answers are lost, old attempts hold no room and get copies

An attempt counted as lost after eight usual times, 0.28 s, and held one of the two rooms of a backend till then; and it got a copy only where its backend was ejected. Most refusals were free requests whose only attempt had been lost. Extra attempts stood at 1.18 a request: the budget of 0.2 was used up.

To blame: rules.rs look_after() (one fixed age, copies of ejected ones only) and request(), the budget. Now learn() keeps the part of the attempts older than 2.5 usual times that were answered after all. While most are not, that age counts as lost, they get copies while these could still be worth something, a copy that was lost too gets another, and the budget is doubled. A time-out where other classes are answered counts as one error of its class, no longer as reason enough to shun it.

A test over sockets with backends that lose every fourth answer; it fails without this.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -32,6 +32,10 @@
 /// An attempt this many times older than usual is taken for lost: it holds no room any more. Two of them,
 /// with no later answer, mark silence; one may be an answer that never comes.
 const SILENT_AFTER: f64 = 8.0;
+/// ... or so many times, while most that are as old as this are never answered.
+const LOST_AFTER: f64 = 2.5;
+/// Attempts of that age that tell whether most are answered.
+const OLD_SAMPLES: f64 = 30.0;
 /// First term of an ejection, s; it doubles with each failed return, twice at most.
 const EJECT_TERM: f64 = 1.0;
 /// Good trials before an ejected backend is trusted again.
@@ -40,7 +44,8 @@
 const PANIC: f64 = 0.5;
 /// Part of this proxy's fall budget that it uses: the rest is for skew between proxies and heavy work.
 const FALL_MARGIN: f64 = 0.8;
-/// Extra attempts for each request: the usual tenth, doubled for the time until a failure is seen.
+/// Extra attempts for each request: the usual tenth, doubled for the time until a failure is seen, and once
+/// more while answers are lost.
 const RETRY_RATIO: f64 = 0.2;
 /// A request worth less than this part of a first try within quota finds half of the room: the rest is kept.
 const LOW: f64 = 0.5;
@@ -95,6 +100,8 @@
     /// Seconds that this proxy's attempts were out, for each second: its own part of all that is held.
     crowd: Rate,
     extra: f64,
+    /// The part of the attempts older than LOST_AFTER that were answered.
+    answered: Mean,
     /// The error share of the middle one of the backends: what is common to all is no fault of any.
     common: f64,
     solve_at: Time,
@@ -125,6 +132,7 @@
             rate: Rate::new(RATE_MEMORY),
             crowd: Rate::new(CROWD_MEMORY),
             extra: 0.0,
+            answered: Mean { value: 1.0, count: FEW },
             common: 0.0,
             solve_at: Time(0),
             look_at: Time(0),
@@ -209,7 +217,8 @@
             return;
         }
         self.rate.add(now, 1.0);
-        self.extra = (self.extra + RETRY_RATIO).min(RETRY_RATIO * KIND_SAMPLES);
+        let ratio = RETRY_RATIO * if self.losing() { 2.0 } else { 1.0 };
+        self.extra = (self.extra + ratio).min(ratio * KIND_SAMPLES);
         let tenant = new.tenant.and_then(|t| self.cfg.tenants.get(t.0).zip(self.buckets.get_mut(t.0)));
         let part = |t: &Tenant| t.quota_per_s / f64::from(self.cfg.proxies);
         let over_quota = tenant.is_some_and(|(t, bucket)| !bucket.take(now, part(t)));
@@ -241,10 +250,17 @@
 
     /// What an outcome says of the backend, its kind and its class.
     fn learn(&mut self, now: Time, id: BackendId, class: usize, sent: Time, end: &AttemptEnd) {
-        let usual = self.usual(class);
+        let (usual, quiet) = (self.usual(class), self.quiet(class));
+        if now >= sent + usual.times(LOST_AFTER) {
+            match end.outcome {
+                Outcome::Ok | Outcome::Error => self.answered.add(1.0, OLD_SAMPLES),
+                Outcome::TimedOut | Outcome::Cancelled => self.answered.add(0.0, OLD_SAMPLES),
+                _ => {}
+            }
+        }
         let Some(p) = self.peers.get_mut(&id) else { return };
         p.out = p.out.saturating_sub(1);
-        p.lost = p.lost.saturating_sub(u32::from(now >= sent + usual.times(SILENT_AFTER)));
+        p.lost = p.lost.saturating_sub(u32::from(now >= sent + quiet));
         match end.outcome {
             Outcome::Ok => {
                 // Served requests only: errors, time-outs and refusals stay out of the speeds.
@@ -276,8 +292,8 @@
             Outcome::Cancelled | Outcome::NeverSent => {}
             // A heavy request alone is no illness: other answers came back meanwhile.
             Outcome::TimedOut if p.part(class).answered >= sent => {}
-            Outcome::TimedOut if p.answered >= sent => self.shun(now, id, class),
-            Outcome::Error | Outcome::Reset | Outcome::ConnectFailed => {
+            Outcome::TimedOut if p.answered < sent => self.eject(now, id, end.outcome),
+            Outcome::Error | Outcome::Reset | Outcome::ConnectFailed | Outcome::TimedOut => {
                 let bump = |errors: &mut f64| *errors += (1.0 - *errors) * ERROR_STEP;
                 bump(&mut p.errors);
                 bump(&mut p.part(class).errors);
@@ -296,7 +312,6 @@
                     self.shun(now, id, class);
                 }
             }
-            _ => self.eject(now, id, end.outcome),
         }
     }
 
@@ -337,14 +352,13 @@
             p.parts.iter_mut().for_each(|part| part.unheard = 0);
         }
         for &(backend, class, sent) in self.attempts.values() {
-            let quiet = sent + self.usual(class).times(SILENT_AFTER);
-            next = if quiet > now { next.min(quiet) } else { next };
-            if let Some(p) = self.peers.get_mut(&backend).filter(|_| now >= quiet) {
-                p.lost += 1;
-                p.unheard += u32::from(p.answered <= sent);
-                let part = p.part(class);
-                part.unheard += u32::from(part.answered <= sent);
-            }
+            let (lost, silent) = (sent + self.quiet(class), sent + self.usual(class).times(SILENT_AFTER));
+            next = [lost, silent].into_iter().filter(|at| *at > now).fold(next, Time::min);
+            let Some(p) = self.peers.get_mut(&backend) else { continue };
+            p.lost += u32::from(now >= lost);
+            p.unheard += u32::from(now >= silent && p.answered <= sent);
+            let part = p.part(class);
+            part.unheard += u32::from(now >= silent && part.answered <= sent);
         }
         let mut over = Vec::new();
         for (&id, r) in self.requests.iter().filter(|(_, r)| !r.streaming) {
@@ -354,23 +368,30 @@
             let late_pays = self.cfg.classes[r.class].late_worth > 0.0 && !unseen;
             let half = r.came + (r.deadline - r.came).times(0.5) + usual - self.cfg.tick;
             let last_start = if late_pays { r.deadline } else { r.aim.min(half) };
-            let lost = |s: &Sent| s.out && self.peers.get(&s.to.id).is_none_or(|p| p.ejected.is_some());
-            let lost = matches!(&r.sent[..], [only] if lost(only));
+            let old = |s: &Sent| self.losing() && now >= s.at + self.quiet(r.class);
+            let ill = |s: &Sent| self.peers.get(&s.to.id).is_none_or(|p| p.ejected.is_some());
+            let lost = |s: &Sent| s.out && (ill(s) || old(s));
+            let lost = r.out() && r.sent.iter().all(|s| !s.out || lost(s));
             // The deadline's own tick would be too late to answer; a request that was held so long
             // that it cannot make it is refused while that is still harmless.
             let last_start = if r.out() { r.deadline } else { last_start.min(r.deadline) };
             let margin = if r.out() { self.cfg.tick } else { usual.max(self.cfg.tick) };
             if now + margin >= last_start {
                 over.push(id);
-            } else if lost && now + usual < r.aim && self.extra >= 1.0 {
-                // Age alone is no reason: copies of merely heavy requests crowd every backend.
+            } else if lost
+                && (now + usual < r.aim || late_pays && now + usual < r.deadline)
+                && self.extra >= 1.0
+            {
+                // Age alone is a reason only where answers are lost: copies of merely heavy requests crowd
+                // every backend.
                 if self.cfg.second_copies {
                     if self.may_send(now, r) && !self.held.contains(&id) {
                         self.held.push(id);
                     }
                 } else if self.cfg.cancel && self.cfg.classes[r.class].effect != Effect::Unsafe {
-                    // Where no copy may run beside it, the first is called back to make way for the next.
-                    self.actions.push(Action::Cancel { request: id, attempt: AttemptNo(0) });
+                    // Where no copy may run beside it, it is called back to make way for the next.
+                    self.actions
+                        .push(Action::Cancel { request: id, attempt: AttemptNo(r.sent.len() as u32 - 1) });
                 }
             }
             next = next.min(last_start - margin);
@@ -385,6 +406,16 @@
         known.map_or(self.cfg.classes[class].aim.times(0.25), Micros::from_secs)
     }
 
+    /// Answers are lost: most attempts of some age never end.
+    fn losing(&self) -> bool {
+        self.answered.get().is_some_and(|part| part < 0.5)
+    }
+
+    /// An attempt older than this is taken for lost.
+    fn quiet(&self, class: usize) -> Micros {
+        self.usual(class).times(if self.losing() { LOST_AFTER } else { SILENT_AFTER })
+    }
+
     /// A class's work beside the mean, so far as latency tells it.
     fn work(&self, class: usize) -> f64 {
         self.classes[class].latency.get().map_or(1.0, |own| own / self.overall.value)
@@ -523,8 +554,7 @@
                 _ => true,
             };
             let fresh = r.sent.iter().all(|s| s.to.id != b && known(s));
-            let busy = p.silent(r.class) || p.full(now, r.class);
-            let idle = busy || heed && p.shuns(now, r.class);
+            let idle = p.silent(r.class) || p.full(now, r.class) || heed && p.shuns(now, r.class);
             if p.entry.state != BackendState::Ready || idle || !fresh || self.budget(now, p) < work {
                 continue;
             }
@@ -592,7 +622,7 @@
                 p.spent.push((now, work));
                 self.attempts.insert((id, no), (backend, r.class, now));
                 self.actions.push(Action::Dispatch { request: id, backend });
-                let quiet = now + self.usual(r.class).times(SILENT_AFTER);
+                let quiet = now + self.quiet(r.class);
                 self.look_at = self.look_at.min(quiet).min(r.deadline - self.cfg.tick);
             } else if sendable {
                 if !again {
--- a/tests/service.rs
+++ b/tests/service.rs
@@ -310,6 +310,26 @@
     assert!(reads > 50, "{reads} of 400 went to the one that serves them");
 }
 
+/// Where many answers are lost, a request that may run again gets a copy while there is time for one.
+#[test]
+fn where_answers_are_lost_copies_make_up_for_them() {
+    let never = Arc::new(Gate::default());
+    let losing = || {
+        let never = never.clone();
+        BackendServer::start(move |n| if n % 4 == 3 { Reply::Gate(never.clone()) } else { ok("x") })
+    };
+    let (one, two, three) = (losing(), losing(), losing());
+    let entries = [&one, &two, &three].map(|b| entry("b", b.address, "SERVING"));
+    let entries: Vec<String> =
+        entries.iter().enumerate().map(|(n, e)| e.replace("\"b\"", &format!("\"b{n}\""))).collect();
+    let proxy = Proxy::start(&entries);
+    let statuses: Vec<u16> = (0..60).map(|_| proxy.ask(&read(0.4)).status()).collect();
+    let lost = |part: &[u16]| part.iter().filter(|s| **s != 200).count();
+    assert!(lost(&statuses[..30]) > 3, "it takes some to tell: {statuses:?}");
+    assert!(lost(&statuses[30..]) < 2, "{statuses:?}");
+    never.open();
+}
+
 /// More than an answer, in its own segment or the next: it is never taken for the answer to another request.
 #[test]
 fn what_comes_behind_an_answer_is_nobodys() {
