Where most attempts older than eight usual times are lost, those get copies too

To blame: rules.rs, which asked at one age only. Now it asks at both.

A test of the module fails without it.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -100,8 +100,8 @@
     /// Seconds that this proxy's attempts were out, for each second: its own part of all that is held.
     crowd: Rate,
     extra: f64,
-    /// The part of the attempts older than LOST_AFTER that were answered.
-    answered: Mean,
+    /// The part of the attempts older than so many usual times that were answered.
+    answered: [(f64, Mean); 2],
     /// The error share of the middle one of the backends: what is common to all is no fault of any.
     common: f64,
     solve_at: Time,
@@ -132,7 +132,7 @@
             rate: Rate::new(RATE_MEMORY),
             crowd: Rate::new(CROWD_MEMORY),
             extra: 0.0,
-            answered: Mean { value: 1.0, count: FEW },
+            answered: [LOST_AFTER, SILENT_AFTER].map(|age| (age, Mean { value: 1.0, count: FEW })),
             common: 0.0,
             solve_at: Time(0),
             look_at: Time(0),
@@ -217,7 +217,7 @@
             return;
         }
         self.rate.add(now, 1.0);
-        let ratio = RETRY_RATIO * if self.losing() { 2.0 } else { 1.0 };
+        let ratio = RETRY_RATIO * if self.losing().is_some() { 2.0 } else { 1.0 };
         self.extra = (self.extra + ratio).min(ratio * KIND_SAMPLES);
         let tenant = new.tenant.and_then(|t| self.cfg.tenants.get(t.0).zip(self.buckets.get_mut(t.0)));
         let part = |t: &Tenant| t.quota_per_s / f64::from(self.cfg.proxies);
@@ -251,10 +251,11 @@
     /// What an outcome says of the backend, its kind and its class.
     fn learn(&mut self, now: Time, id: BackendId, class: usize, sent: Time, end: &AttemptEnd) {
         let (usual, quiet) = (self.usual(class), self.quiet(class));
-        if now >= sent + usual.times(LOST_AFTER) {
+        for (age, answered) in &mut self.answered {
             match end.outcome {
-                Outcome::Ok | Outcome::Error => self.answered.add(1.0, OLD_SAMPLES),
-                Outcome::TimedOut | Outcome::Cancelled => self.answered.add(0.0, OLD_SAMPLES),
+                _ if now < sent + usual.times(*age) => {}
+                Outcome::Ok | Outcome::Error => answered.add(1.0, OLD_SAMPLES),
+                Outcome::TimedOut | Outcome::Cancelled => answered.add(0.0, OLD_SAMPLES),
                 _ => {}
             }
         }
@@ -360,6 +361,7 @@
             let part = p.part(class);
             part.unheard += u32::from(now >= silent && part.answered <= sent);
         }
+        let losing = self.losing().is_some();
         let mut over = Vec::new();
         for (&id, r) in self.requests.iter().filter(|(_, r)| !r.streaming) {
             let usual = self.usual(r.class);
@@ -368,7 +370,7 @@
             let late_pays = self.cfg.classes[r.class].late_worth > 0.0 && !unseen;
             let half = r.came + (r.deadline - r.came).times(0.5) + usual - self.cfg.tick;
             let last_start = if late_pays { r.deadline } else { r.aim.min(half) };
-            let old = |s: &Sent| self.losing() && now >= s.at + self.quiet(r.class);
+            let old = |s: &Sent| losing && now >= s.at + self.quiet(r.class);
             let ill = |s: &Sent| self.peers.get(&s.to.id).is_none_or(|p| p.ejected.is_some());
             let lost = |s: &Sent| s.out && (ill(s) || old(s));
             let lost = r.out() && r.sent.iter().all(|s| !s.out || lost(s));
@@ -406,14 +408,14 @@
         known.map_or(self.cfg.classes[class].aim.times(0.25), Micros::from_secs)
     }
 
-    /// Answers are lost: most attempts of some age never end.
-    fn losing(&self) -> bool {
-        self.answered.get().is_some_and(|part| part < 0.5)
+    /// The age, in usual times, from which most attempts are never answered.
+    fn losing(&self) -> Option<f64> {
+        self.answered.iter().find(|(_, answered)| answered.value < 0.5).map(|(age, _)| *age)
     }
 
     /// An attempt older than this is taken for lost.
     fn quiet(&self, class: usize) -> Micros {
-        self.usual(class).times(if self.losing() { LOST_AFTER } else { SILENT_AFTER })
+        self.usual(class).times(self.losing().unwrap_or(SILENT_AFTER))
     }
 
     /// A class's work beside the mean, so far as latency tells it.
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -144,6 +144,31 @@
     assert!(served > 10, "the other class goes on there: {served}");
 }
 
+/// Later days: at four times the load one answer in a hundred never came, and each waited out its deadline.
+#[test]
+fn where_most_attempts_of_some_age_are_lost_they_get_a_copy() {
+    for lost in [true, false] {
+        let mut host = host(config(vec![class(Effect::Free)]), fleet(6));
+        serve(&mut host, 100, 0, |_| 10_000);
+        let mut copied = Vec::new();
+        for n in 0..150 {
+            let id = host.arrive(0, 700_000);
+            host.advance([300_000, 100_000, 100_000].get(n % 10).copied().unwrap_or(10_000));
+            if n % 10 == 0 {
+                copied.push(host.sent_to(id).len() == 2);
+            }
+            if n % 10 == 0 && lost && host.sent_to(id).len() == 1 {
+                host.advance(400_000);
+            } else {
+                host.end(id, host.sent_to(id).len() - 1, Outcome::Ok);
+            }
+        }
+        assert!(!copied[..5].contains(&true), "not before it is known: {copied:?}");
+        assert_eq!(copied[10..].contains(&true), lost, "slow ones that are answered need none: {copied:?}");
+        assert_eq!(copied[10..].contains(&false), !lost, "{copied:?}");
+    }
+}
+
 #[test]
 fn once_a_backend_is_ejected_its_other_requests_get_a_copy() {
     for copies in [true, false] {
