An answer that has begun is whole within 40 ms, not 100

Checked: most aims are 80 to 110 ms, so an attempt that is found out after 100 leaves its copy no time. To blame: PROMPT in upstream.rs; whole answers take 0.2 ms from their first byte.

--- a/src/net/upstream.rs
+++ b/src/net/upstream.rs
@@ -29,7 +29,7 @@
 /// clock may have started earlier than ours.
 const IDLE_PART: f64 = 0.6;
 /// An answer is whole so soon after its first byte.
-const PROMPT: Duration = Duration::from_millis(100);
+const PROMPT: Duration = Duration::from_millis(40);
 /// The largest head, to which hyper holds a connection's buffer.
 const MAX_HEAD: usize = 32 * 1024;
 /// A connection is not used again so soon after an answer: what a backend sends behind one in a segment of its
