--- a/crates/shaletide/src/cli.rs
+++ b/crates/shaletide/src/cli.rs
@@ -71,6 +71,10 @@
     /// Pools; the boxes are dealt out to them.
     #[arg(long, default_value_t = 1, value_parser = clap::value_parser!(u8).range(1..=4))]
     pub pools: u8,
+    /// The store of record with the engine, killed so often: two requests of one key, a store that fails once.
+    #[arg(long, value_name = "N", value_parser = clap::value_parser!(u8).range(1..=3))]
+    #[arg(conflicts_with_all = ["world", "boxes", "requests", "drains", "pools", "cover", "threads"])]
+    pub restarts: Option<u8>,
     /// Look for so long at most, a world.
     #[arg(long, default_value_t = 600)]
     pub seconds: u64,
--- a/crates/shaletide/src/explore.rs
+++ b/crates/shaletide/src/explore.rs
@@ -15,6 +15,9 @@
 /// # Errors
 /// There is no world of that name.
 pub fn explore(asked: &Explore) -> Result<ExitCode, String> {
+    if let Some(count) = asked.restarts {
+        return Ok(killed(count, Duration::from_secs(asked.seconds)));
+    }
     let worlds = worlds(asked)?;
     println!("{HEAD}");
     let (mut status, mut cover) = (0, Cover::default());
@@ -41,6 +44,28 @@
     Ok(ExitCode::from(status))
 }
 
+/// One attempt a request: what further ones add is a world of the tests.
+fn killed(count: u8, time: Duration) -> ExitCode {
+    let bounds = Restarts { restarts: count, attempts: 1, ..Restarts::default() };
+    let found = restarts(&bounds, time);
+    println!(
+        "restarts {count}: {} states, {} transitions, depth {}, {:.1} s, exhausted: {}",
+        found.states,
+        found.transitions,
+        found.depth,
+        found.took.as_secs_f64(),
+        if found.exhausted { "yes" } else { "no" }
+    );
+    let Some((way, rule)) = found.counterexample else {
+        return ExitCode::from(if found.exhausted { 0 } else { LEFT });
+    };
+    for (at, step) in way.iter().enumerate() {
+        println!("{:>3}.  {step:?}", at + 1);
+    }
+    println!("broken: {rule}");
+    ExitCode::from(BROKEN)
+}
+
 fn worlds(asked: &Explore) -> Result<Vec<World>, String> {
     match asked.world.as_deref() {
         None => {
