--- a/crates/shaletide/benches/front/record.rs
+++ b/crates/shaletide/benches/front/record.rs
@@ -25,7 +25,7 @@
         format!(
             "[[listener]]\naddress = \"{at}\"\n[request]\nkey = {{ header = \"Idempotency-Key\" }}\n\
              [[class]]\nname = \"read\"\n[[class]]\nname = \"pay\"\neffect = \"unsafe\"\ndeadline = \"2s\"\n\
-             [[class]]\nname = \"bid\"\neffect = \"keyed\"\nkey_window = \"1.2s\"\n{facts}{record}[[pool]]\nname = \"boxes\"\nboxes = [\"{to}\"]\n"
+             [[class]]\nname = \"bid\"\neffect = \"keyed\"\nkey_scope = \"all\"\nkey_window = \"1.2s\"\n{facts}{record}[[pool]]\nname = \"boxes\"\nboxes = [\"{to}\"]\n"
         )
     };
     let section = format!("[record]\npath = {:?}\nwait = \"100ms\"\n", store.display().to_string());
