Slow bodies: a least rate, room by announced length, and places that others may need

A request whose body trickles held its place for 0.7 s and up to 64 KiB, with no bound on the sum.

A body that keeps others from a place or from room gets 408.

--- a/crates/config/src/operator/additions.rs
+++ b/crates/config/src/operator/additions.rs
@@ -52,6 +52,12 @@
     pub head_timeout: Micros,
     /// A request's body is whole after this.
     pub body_timeout: Micros,
+    /// A body comes at this rate at least, in bytes a second.
+    pub body_rate: usize,
+    /// But for so long, at its beginning or after it has kept to the rate.
+    pub body_grace: Micros,
+    /// What bodies that are coming and those of open requests may hold together, in bytes.
+    pub held_bodies: usize,
 }
 
 /// Reads a file that adds to NODE_CONFIG. Answers are read as on the platform where it does not say otherwise.
--- a/crates/config/src/operator/basics.rs
+++ b/crates/config/src/operator/basics.rs
@@ -73,6 +73,9 @@
         answer_stall: limits.span(desk, "answer_stall").value,
         head_timeout,
         body_timeout,
+        body_rate: limits.read(desk, "body_rate", values::size).or(0),
+        body_grace: limits.span(desk, "body_grace").or(Micros(0)),
+        held_bodies: limits.read(desk, "held_bodies", values::size).or(0),
         max_body: limits.read(desk, "max_body", values::size).or(0),
         drain_grace: rules.span(desk, "drain_grace").or(Micros(0)),
     }
@@ -84,6 +87,9 @@
         answer_stall: limits.span(desk, "answer_stall").value,
         head_timeout: limits.span(desk, "head_timeout").or(Micros(0)),
         body_timeout: limits.span(desk, "body_timeout").or(Micros(0)),
+        body_rate: limits.read(desk, "body_rate", values::size).or(0),
+        body_grace: limits.span(desk, "body_grace").or(Micros(0)),
+        held_bodies: limits.read(desk, "held_bodies", values::size).or(0),
     }
 }
 
--- a/crates/config/src/operator/types.rs
+++ b/crates/config/src/operator/types.rs
@@ -65,6 +65,12 @@
     pub head_timeout: Micros,
     /// A request's body is whole after this.
     pub body_timeout: Micros,
+    /// A body comes at this rate at least, in bytes a second.
+    pub body_rate: usize,
+    /// But for so long, at its beginning or after it has kept to the rate.
+    pub body_grace: Micros,
+    /// What bodies that are coming and those of open requests may hold together, in bytes.
+    pub held_bodies: usize,
     /// The longest body of a request or an answer, in bytes.
     pub max_body: usize,
     /// Nothing new goes to a box later than this after the news that it drains.
--- a/crates/config/src/platform.rs
+++ b/crates/config/src/platform.rs
@@ -257,6 +257,8 @@
 const HEAD_TIMEOUT: Micros = Micros(2_100_000);
 /// The body of a request is whole after this time: with the above under the 3 s that any client is owed.
 const BODY_TIMEOUT: Micros = Micros(700_000);
+/// A body may stall for so long.
+const BODY_GRACE: Micros = Micros(500_000);
 /// What the platform grants; the program stops at once.
 const DRAIN_GRACE: Micros = Micros(2_000_000);
 
@@ -315,6 +317,9 @@
             answer_stall: Some(PLATFORM_STALL),
             head_timeout: HEAD_TIMEOUT,
             body_timeout: BODY_TIMEOUT,
+            body_rate: 1 << 10,
+            body_grace: BODY_GRACE,
+            held_bodies: 8 << 20,
             max_body: 64 << 10,
             drain_grace: DRAIN_GRACE,
         },
--- a/crates/config/src/schema/tables.rs
+++ b/crates/config/src/schema/tables.rs
@@ -10,6 +10,8 @@
 const S: u64 = 1_000_000;
 pub(super) const HOUR: u64 = 3_600 * S;
 const KIB: u64 = 1 << 10;
+const MIB: u64 = 1 << 20;
+const GIB: u64 = 1 << 30;
 
 pub(super) const fn key(
     name: &'static str, kind: Kind, default: Default, when: When, platform: Platform, meaning: &'static str,
@@ -255,6 +257,30 @@
         Adds,
         "A request's body is whole after this, or the request is refused.",
     ),
+    key(
+        "body_rate",
+        Kind::Size(1, MIB),
+        Is("\"1KiB\""),
+        Reload,
+        Adds,
+        "A body that comes more slowly than so many bytes a second is not waited for any longer: 408.",
+    ),
+    key(
+        "body_grace",
+        Kind::Span(MS, 60 * S),
+        Is("\"500ms\""),
+        Reload,
+        Adds,
+        "... but for so long, at its beginning or after it has kept to the rate.",
+    ),
+    key(
+        "held_bodies",
+        Kind::Size(64 * KIB, GIB),
+        Is("\"8MiB\""),
+        Reload,
+        Adds,
+        "What bodies that are coming, and those of requests that have no answer yet, may hold together.",
+    ),
     key(
         "max_body",
         Kind::Size(KIB, 64 * KIB),
--- a/crates/config/tests/reading.rs
+++ b/crates/config/tests/reading.rs
@@ -122,6 +122,9 @@
         answer_stall = "40.5ms"
         head_timeout = "1s 1us"
         body_timeout = "1m"
+        body_rate = "2KiB"
+        body_grace = "1s"
+        held_bodies = "1MiB"
         max_body = "1.5KiB"
         [rules]
         cold_from = 1
@@ -144,6 +147,8 @@
     assert_eq!((limits.max_retry_after, config.tick), (Micros(90_000_000), Micros(100)));
     assert_eq!((limits.answer_stall, limits.head_timeout), (Some(Micros(40_500)), Micros(1_000_001)));
     assert_eq!((limits.body_timeout, limits.max_body), (Micros(60_000_000), 1536));
+    assert_eq!((limits.body_rate, limits.body_grace), (2048, Micros(1_000_000)));
+    assert_eq!(limits.held_bodies, 1 << 20);
     assert_eq!((config.cold_from, config.ramp, config.fall_multiple), (1.0, Micros(3_000_000), 2.0));
     assert_eq!((config.fall_window, limits.drain_grace), (Micros(4_000_000), Micros(0)));
     assert_eq!((config.goal_whole, config.goal_worst_class), (0.5, 0.25));
--- /dev/null
+++ b/crates/http/src/bodies.rs
@@ -0,0 +1,128 @@
+//! Bodies of requests as they come: a thin shell over `admission::Bodies`, which says who is read and who has to go.
+
+use crate::request::Fault;
+use crate::server::{Client, Server};
+use bytes::{Bytes, BytesMut};
+use http_body_util::BodyExt;
+use hyper::body::{Body, Incoming};
+use shaletide_admission::{BodyId, Entry};
+use shaletide_balancer::Time;
+use std::rc::Rc;
+use std::time::Duration;
+
+/// Whoever stands in line looks this often whether somebody has to make room.
+const LOOK: Duration = Duration::from_millis(20);
+
+/// Why a body is not whole.
+pub(crate) enum Unread {
+    /// By its client's doing, or to make room.
+    Fault(Fault),
+    /// None of it was read, as there was no room in its time: a retry is harmless.
+    NoRoom,
+}
+
+/// A body that is read, and then the room that it holds until its request is answered. Dropped at any moment it gives
+/// its room back.
+pub(crate) struct Coming {
+    server: Rc<Server>,
+    client: Rc<Client>,
+    id: BodyId,
+    length: usize,
+}
+
+impl Coming {
+    /// Of the length that its head names.
+    ///
+    /// # Errors
+    /// Where it names none; heads are checked for that before.
+    pub fn new(server: &Rc<Server>, client: &Rc<Client>, body: &Incoming) -> Result<Coming, Unread> {
+        let length = body.size_hint().exact().ok_or(Unread::Fault(Fault::Length))? as usize;
+        let id = server.bodies.borrow_mut().begin(server.host.clock.now(), length);
+        server.senders.borrow_mut().insert(id, client.clone());
+        Ok(Coming { server: server.clone(), client: client.clone(), id, length })
+    }
+
+    /// All of it, by then. Dropped midway it leaves nothing behind but its place, which goes with `self`.
+    ///
+    /// # Errors
+    /// Why it is not whole.
+    pub async fn whole(&self, until: Time, mut body: Incoming) -> Result<Bytes, Unread> {
+        self.enter(until).await?;
+        self.client.coming.set(Some(self.now()));
+        let read = self.read(until, &mut body).await;
+        self.client.coming.set(None);
+        let whole = read.map_err(Unread::Fault)?;
+        self.server.bodies.borrow_mut().taken(self.id);
+        Ok(whole)
+    }
+
+    fn now(&self) -> Time {
+        self.server.host.clock.now()
+    }
+
+    /// Until it may be read.
+    async fn enter(&self, until: Time) -> Result<(), Unread> {
+        loop {
+            let now = self.now();
+            match self.server.bodies.borrow().entry(self.id) {
+                Entry::In => return Ok(()),
+                Entry::Out => return Err(Unread::Fault(Fault::Slow)),
+                Entry::Waits if now >= until => return Err(Unread::NoRoom),
+                Entry::Waits => {}
+            }
+            let pushed = self.server.bodies.borrow_mut().push_out(now);
+            self.server.tell(pushed);
+            let _ = tokio::time::timeout(LOOK, self.client.turn.notified()).await;
+        }
+    }
+
+    async fn read(&self, until: Time, body: &mut Incoming) -> Result<Bytes, Fault> {
+        let mut parts = BytesMut::new();
+        loop {
+            let due = self.server.bodies.borrow().due(self.id).map_or(until, |due| due.min(until));
+            let frame = tokio::select! {
+                biased; // what is there is taken before the time is asked, and no timer is set for it
+                frame = body.frame() => frame,
+                () = self.client.turn.notified() => {
+                    let is_in = self.server.bodies.borrow().entry(self.id) == Entry::In;
+                    if self.client.is_leaving() || !is_in {
+                        return Err(Fault::Slow);
+                    }
+                    continue;
+                }
+                () = tokio::time::sleep_until(self.server.host.clock.instant(due)) => return Err(Fault::Slow),
+            };
+            let Some(part) = frame else { return Err(Fault::Body) };
+            let part = part.ok().and_then(|frame| frame.into_data().ok()).ok_or(Fault::Body)?;
+            self.server.bodies.borrow_mut().came(self.now(), self.id, part.len());
+            if parts.is_empty() && part.len() == self.length {
+                return Ok(part);
+            }
+            if parts.is_empty() {
+                parts.reserve(self.length); // touched as it comes
+            }
+            parts.extend_from_slice(&part);
+            if parts.len() == self.length {
+                return Ok(parts.freeze());
+            }
+        }
+    }
+}
+
+impl Drop for Coming {
+    fn drop(&mut self) {
+        self.server.senders.borrow_mut().remove(&self.id);
+        self.server.bodies.borrow_mut().over(self.now(), self.id);
+        self.server.tell(None);
+    }
+}
+
+impl Server {
+    /// Tells those whose bodies were let in, and one that has to make room.
+    fn tell(&self, pushed: Option<BodyId>) {
+        let let_in = self.bodies.borrow_mut().let_in();
+        let senders = self.senders.borrow();
+        let concerned = let_in.into_iter().chain(pushed).filter_map(|id| senders.get(&id));
+        concerned.for_each(|client| client.turn.notify_one());
+    }
+}
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -2,6 +2,7 @@
 //! that come back. It holds no pool, no address and no decision.
 #![forbid(unsafe_code)]
 
+mod bodies;
 mod errand;
 mod request;
 mod rules;
--- a/crates/http/src/request.rs
+++ b/crates/http/src/request.rs
@@ -83,7 +83,7 @@
                 return (StatusCode::PAYLOAD_TOO_LARGE, text);
             }
             Fault::Body => "the body is malformed",
-            Fault::Slow => "the body did not come in time",
+            Fault::Slow => "the body did not come in time, or too slowly, or others had need of its place",
             Fault::Target => "the target has no path",
             Fault::Connection => "Connection names a header that must go on to the backend",
             Fault::Path => "the path has dot segments, backslashes, no first part or a class in disguise",
@@ -354,6 +354,9 @@
             whole_seconds: true,
             head_timeout: Micros(1),
             body_timeout: Micros(1),
+            body_rate: 1,
+            body_grace: Micros(1),
+            held_bodies: 1,
             max_body: 64 * 1024,
             record: false,
         })
--- a/crates/http/src/rules.rs
+++ b/crates/http/src/rules.rs
@@ -1,7 +1,9 @@
 //! What requests are read and checked by, made of a configuration once and replaced whole by the next.
 
+use crate::server::FIRST_PATIENCE;
 use hyper::header::{HeaderName, CONTENT_LENGTH, HOST};
 use hyper::Method;
+use shaletide_admission::{Measures, Rate};
 use shaletide_balancer::{ClassId, Effect, Micros, PoolId, TenantId};
 use shaletide_routing::{Answers, Form, Route, Source, Table};
 use std::collections::{HashMap, HashSet};
@@ -41,6 +43,12 @@
     pub head_timeout: Micros,
     /// And its body.
     pub body_timeout: Micros,
+    /// A body comes at this rate at least, in bytes a second.
+    pub body_rate: u64,
+    /// But for so long.
+    pub body_grace: Micros,
+    /// What bodies may hold together, in bytes.
+    pub held_bodies: usize,
     /// Which is no longer than this, in bytes.
     pub max_body: usize,
     /// Requests are on record: their tenants' names and keys are wanted.
@@ -87,6 +95,7 @@
     pub(crate) whole_seconds: bool,
     pub(crate) head_timeout: Micros,
     pub(crate) body_timeout: Micros,
+    pub(crate) bodies: Measures,
     pub(crate) record: bool,
     pub(crate) max_body: usize,
 }
@@ -146,6 +155,11 @@
             whole_seconds: def.whole_seconds,
             head_timeout: def.head_timeout,
             body_timeout: def.body_timeout,
+            bodies: Measures {
+                rate: Rate { least: def.body_rate, grace: def.body_grace },
+                held: def.held_bodies,
+                patience: FIRST_PATIENCE,
+            },
             max_body: def.max_body,
             record: def.record,
         }
--- a/crates/http/src/server.rs
+++ b/crates/http/src/server.rs
@@ -1,16 +1,18 @@
 //! Clients: the listener, their connections, and the graceful shutdown.
 
+use crate::bodies::{Coming, Unread};
 use crate::errand::Call;
 use crate::request::{check_probe, check_target, number, read, Fault};
 use crate::rules::Rules;
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
-use hyper::body::Incoming;
+use http_body_util::Full;
+use hyper::body::{Body, Incoming};
 use hyper::header::{HeaderValue, ALLOW, CONNECTION, RETRY_AFTER};
 use hyper::http::request::Parts;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper::{Request, Response, StatusCode};
+use shaletide_admission::{Bodies, BodyId};
 use shaletide_balancer::*;
 use shaletide_engine::Order;
 use shaletide_net::{span, strip_hop_by_hop, Answer, Host, Named, Stream};
@@ -39,11 +41,13 @@
 /// The largest head, to which hyper holds a connection's buffer.
 const MAX_HEAD: usize = 16 * 1024;
 /// A first request that has begun to come is whole after this time, or makes way where room is needed.
-const FIRST_PATIENCE: Micros = Micros(100_000);
+pub(crate) const FIRST_PATIENCE: Micros = Micros(100_000);
 /// Connections that never sent a whole request hold this part of the places before they go first at any age.
 const UNPROVEN_PART: usize = 4;
 /// A connection that was told to end and has not is cut after this time: its client reads nothing.
 const CLOSE_PATIENCE: Duration = Duration::from_secs(1);
+/// When a request had better come again for whose body there was no room: the slow ones are gone by then.
+const CROWDED: Micros = Micros(1_000_000);
 /// Lines about a failing listener come no faster.
 const ACCEPT_LOG: Micros = Micros(1_000_000);
 
@@ -54,7 +58,7 @@
     proven: Cell<usize>,
 }
 
-struct Client {
+pub(crate) struct Client {
     stream: Stream,
     staying: Rc<Staying>,
     busy: Cell<bool>,
@@ -65,13 +69,18 @@
     /// It was chosen to make room.
     leaving: Cell<bool>,
     close: Notify,
+    /// The body of its request has been coming since then; nothing is owed for it yet.
+    pub(crate) coming: Cell<Option<Time>>,
+    /// Something about that body has changed.
+    pub(crate) turn: Notify,
 }
 
 impl Client {
     fn new(stream: Stream, since: Cell<Time>, staying: Rc<Staying>) -> Client {
         staying.all.set(staying.all.get() + 1);
         let (busy, proven, leaving) = (Cell::new(false), Cell::new(false), Cell::new(false));
-        Client { stream, staying, busy, proven, since, leaving, close: Notify::new() }
+        let (close, coming, turn) = (Notify::new(), Cell::new(None), Notify::new());
+        Client { stream, staying, busy, proven, since, leaving, close, coming, turn }
     }
 
     /// It has sent a whole request that made sense.
@@ -81,6 +90,11 @@
         }
     }
 
+    /// It was chosen to make room.
+    pub(crate) fn is_leaving(&self) -> bool {
+        self.leaving.get()
+    }
+
     /// It is to make room.
     fn leave(&self) {
         if !self.leaving.replace(true) {
@@ -100,11 +114,14 @@
 
 /// The front.
 pub struct Server {
-    host: Rc<Host>,
+    pub(crate) host: Rc<Host>,
     staying: Rc<Staying>,
     rules: RefCell<Rc<Rules>>,
     max: usize,
     clients: RefCell<HashMap<u64, Rc<Client>>>,
+    /// The bodies of requests, and whose they are.
+    pub(crate) bodies: RefCell<Bodies>,
+    pub(crate) senders: RefCell<HashMap<BodyId, Rc<Client>>>,
     /// The ids of the requests that are open.
     ids: RefCell<HashSet<HeaderValue>>,
     /// Ids for requests that bring none are drawn from this.
@@ -119,6 +136,9 @@
     accepted: Cell<u64>,
     evicted: Cell<u64>,
     faults: Cell<u64>,
+    /// Bodies that were not waited for any longer, and requests that found no room for theirs.
+    pub(crate) slow: Cell<u64>,
+    pub(crate) crowded: Cell<u64>,
 }
 
 /// Listens there, also while connections of an earlier process linger.
@@ -138,6 +158,8 @@
         Rc::new(Server {
             host,
             staying: Rc::default(),
+            bodies: RefCell::new(Bodies::new(rules.bodies)),
+            senders: RefCell::default(),
             rules: RefCell::new(Rc::new(rules)),
             max,
             clients: RefCell::default(),
@@ -151,11 +173,14 @@
             accepted: Cell::default(),
             evicted: Cell::default(),
             faults: Cell::default(),
+            slow: Cell::default(),
+            crowded: Cell::default(),
         })
     }
 
     /// Requests are read by these rules from now on; those that are open go on by theirs.
     pub fn reload(&self, rules: Rules) {
+        self.bodies.borrow_mut().configure(rules.bodies);
         self.rules.replace(Rc::new(rules));
     }
 
@@ -193,7 +218,11 @@
         let (accepted, evicted, faults) = (self.accepted.take(), self.evicted.take(), self.faults.take());
         let unproven = self.unproven();
         let clients = self.clients();
-        format!("clients {clients} unproven {unproven} accepted {accepted} evicted {evicted} turned away {faults}")
+        let (slow, crowded) = (self.slow.take(), self.crowded.take());
+        format!(
+            "clients {clients} unproven {unproven} accepted {accepted} evicted {evicted} turned away {faults} \
+             slow bodies {slow} without room {crowded}"
+        )
     }
 
     /// Accepts until told to stop, then answers what it has taken and returns.
@@ -258,23 +287,30 @@
         }
     }
 
-    /// The one that was idle longest leaves, but before it one that never sent a whole request: at once where
-    /// such hold many of the places, else when it had time to.
+    /// The one that was idle longest leaves, but before it one that never sent a whole request, or whose body keeps
+    /// others waiting: at once where such hold many of the places, else when it had time to.
     fn close_longest_idle(&self) -> bool {
         let now = self.host.clock.now();
         let clients = self.clients.borrow();
         let few = self.unproven() <= self.max / UNPROVEN_PART;
         let young = |c: &Client| now - c.since.get() < FIRST_PATIENCE;
+        let lags = |c: &Client| c.coming.get().is_some_and(|since| now - since >= FIRST_PATIENCE);
         let may_go = |c: &Client| {
             let coming = c.stream.stirred() && (c.proven.get() || young(c));
-            !c.busy.get() && !c.leaving.get() && !coming
+            (!c.busy.get() || lags(c)) && !c.leaving.get() && !coming
+        };
+        let later = |c: &Client| match c.coming.get() {
+            Some(since) => (false, since),
+            None => (c.proven.get() || few && young(c), c.since.get()),
         };
-        let later = |c: &Client| (c.proven.get() || few && young(c), c.since.get());
         let first = clients.values().filter(|c| may_go(c)).min_by_key(|c| later(c));
         let Some(client) = first else { return false };
         self.evicted.set(self.evicted.get() + 1);
         client.leave(); // another call at the same moment chooses another
-        client.close.notify_one();
+        match client.coming.get() {
+            Some(_) => client.turn.notify_one(), // it is told why
+            None => client.close.notify_one(),
+        }
         true
     }
 
@@ -329,7 +365,9 @@
         }
     }
 
-    async fn answer(self: &Rc<Self>, client: &Client, request: Request<Incoming>) -> Response<Full<Bytes>> {
+    async fn answer(
+        self: &Rc<Self>, client: &Rc<Client>, request: Request<Incoming>,
+    ) -> Response<Full<Bytes>> {
         let (mut end, rules) = (false, self.rules());
         let (head, body) = request.into_parts();
         let answer = match (check_target(&head), head.uri.path()) {
@@ -355,18 +393,39 @@
         answer
     }
 
+    /// The body of a request, whole by then, and the room that it holds.
+    async fn body(
+        self: &Rc<Self>, client: &Rc<Client>, until: Time, body: Incoming,
+    ) -> Result<(Bytes, Option<Coming>), Unread> {
+        if body.is_end_stream() {
+            return Ok((Bytes::new(), None));
+        }
+        let coming = Coming::new(self, client, &body)?;
+        let whole = coming.whole(until, body).await;
+        let count = match &whole {
+            Err(Unread::NoRoom) => &self.crowded,
+            Err(Unread::Fault(Fault::Slow)) => &self.slow,
+            _ => return whole.map(|bytes| (bytes, Some(coming))),
+        };
+        count.set(count.get() + 1);
+        whole.map(|bytes| (bytes, Some(coming)))
+    }
+
     async fn proxy(
-        self: &Rc<Self>, client: &Client, rules: &Rules, head: Parts, body: Incoming,
+        self: &Rc<Self>, client: &Rc<Client>, rules: &Rules, head: Parts, body: Incoming,
     ) -> Result<Response<Full<Bytes>>, Fault> {
         let came = self.host.clock.now();
         let taken = read(rules, &head, &body)?;
         let deadline = came + Micros(taken.left.0.saturating_sub(self.host.margin().0));
-        let body = Limited::new(body, rules.max_body).collect();
-        let body = match tokio::time::timeout(span(taken.left.min(rules.body_timeout)), body).await {
-            Ok(Ok(body)) => body.to_bytes(),
-            Ok(Err(e)) if e.is::<LengthLimitError>() => return Err(Fault::TooLong),
-            Ok(Err(_)) => return Err(Fault::Body),
-            Err(_) => return Err(Fault::Slow),
+        let until = came + taken.left.min(rules.body_timeout);
+        let (body, _room) = match self.body(client, until, body).await {
+            Ok(body) => body,
+            Err(Unread::Fault(fault)) => return Err(fault),
+            Err(Unread::NoRoom) => {
+                let mut answer = refused(rules, CROWDED);
+                answer.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+                return Ok(answer);
+            }
         };
         // A client waits for its answer before it sends more: this one's length is wrong or hides a request.
         if client.stream.surplus(body.len()) {
--- a/crates/shaletide/src/setup.rs
+++ b/crates/shaletide/src/setup.rs
@@ -50,6 +50,9 @@
         operator.limits.answer_stall = more.limits.answer_stall.or(operator.limits.answer_stall);
         operator.limits.head_timeout = more.limits.head_timeout;
         operator.limits.body_timeout = more.limits.body_timeout;
+        operator.limits.body_rate = more.limits.body_rate;
+        operator.limits.body_grace = more.limits.body_grace;
+        operator.limits.held_bodies = more.limits.held_bodies;
         (operator.form.bay, operator.form.zone) = (more.bay, more.zone);
         operator.pools.extend(more.pools);
         operator.routes = more.routes;
@@ -126,6 +129,9 @@
             whole_seconds: !self.decimals,
             head_timeout: operator.limits.head_timeout,
             body_timeout: operator.limits.body_timeout,
+            body_rate: operator.limits.body_rate as u64,
+            body_grace: operator.limits.body_grace,
+            held_bodies: operator.limits.held_bodies,
             max_body: operator.limits.max_body,
             record: self.record.is_some(),
         }
