--- a/crates/http/src/server.rs
+++ b/crates/http/src/server.rs
@@ -48,6 +48,8 @@
 const CLOSE_PATIENCE: Duration = Duration::from_secs(1);
 /// When a request had better come again for whose body there was no room: the slow ones are gone by then.
 const CROWDED: Micros = Micros(1_000_000);
+/// Turns of the event loop after which what has come on a new connection is read: it is told, read, and served.
+const TURNS: usize = 4;
 /// Lines about a failing listener come no faster.
 const ACCEPT_LOG: Micros = Micros(1_000_000);
 
@@ -264,8 +266,13 @@
 
     async fn accept(self: &Rc<Self>, listeners: &[TcpListener]) {
         while self.clients() >= self.max + OVER_BOUND {
-            if self.staying() > self.max {
-                self.close_longest_idle();
+            // They were accepted in one go: none of them was read yet, and each may have a request.
+            for _ in 0..TURNS {
+                while self.staying() > self.max && self.close_longest_idle() {}
+                if self.staying() <= self.max {
+                    break;
+                }
+                tokio::task::yield_now().await;
             }
             // Those that were told to leave have to be given the time: telling more makes no room sooner.
             let _ = tokio::time::timeout(Duration::from_millis(20), self.left.notified()).await;
@@ -294,7 +301,10 @@
         let clients = self.clients.borrow();
         let few = self.unproven() <= self.max / UNPROVEN_PART;
         let young = |c: &Client| now - c.since.get() < FIRST_PATIENCE;
-        let lags = |c: &Client| c.coming.get().is_some_and(|since| now - since >= FIRST_PATIENCE);
+        let lags = |c: &Client| {
+            let at_once = !few && !c.proven.get();
+            c.coming.get().is_some_and(|since| at_once || now - since >= FIRST_PATIENCE)
+        };
         let may_go = |c: &Client| {
             let coming = c.stream.stirred() && (c.proven.get() || young(c));
             (!c.busy.get() || lags(c)) && !c.leaving.get() && !coming
