A client chosen to make room ends after its answer; one lock and one resolve for the tests

Cause: found by reading the change once more. A client whose body came whole in the same turn in which it was chosen to make room was served and kept its connection, counted nowhere among those that stay. No test forces that turn.

Change: such an answer says Connection: close. 'locked' and 'resolve', written twice in the tests, stand in their kit; the explorer's page on how states are told apart says what the code does.

--- a/crates/explore/src/restarts.rs
+++ b/crates/explore/src/restarts.rs
@@ -2,8 +2,8 @@
 //! late, refused or never comes, a store that fails, and a kill at every state.
 //!
 //! Which commits outlive a kill is up to the order of moves: writes become durable one by one, and are told later still.
-//! What lies on a connection when the program dies may run. The states are told apart by all that is in them; what
-//! bounds them is the number of asks, attempts, ticks, failures and restarts.
+//! What lies on a connection when the program dies may run. States are told apart by all in them that anything can depend
+//! on (`canonical`); what bounds them is the number of asks, attempts, ticks, failures and restarts.
 
 use crate::node::Chooser;
 use crate::shell::{Doing, Shell};
--- a/crates/http/src/server.rs
+++ b/crates/http/src/server.rs
@@ -397,7 +397,8 @@
         });
         // Where many are kept their clients may have none left to ask on: each goes after its answer.
         let many = || self.staying.proven.get() > self.max / 2 || self.staying() > self.max;
-        if end || self.stopping.get() || many() {
+        // One that was chosen to make room as its body came whole was served, and has no place any more.
+        if end || client.is_leaving() || self.stopping.get() || many() {
             answer.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
         }
         answer
--- a/crates/shaletide/tests/kills.rs
+++ b/crates/shaletide/tests/kills.rs
@@ -72,15 +72,6 @@
     }
 }
 
-fn resolve(place: &Place, key: &str, ran: bool) {
-    let mut command = Command::new(env!("CARGO_BIN_EXE_shaletide"));
-    command.args(["record", "resolve", key, "--ran", if ran { "yes" } else { "no" }]);
-    command.args(["--by", "jo", "--note", "the box's own record"]).env_remove("NODE_CONFIG");
-    command.arg("--store").arg(place.0.join("record.db")).arg("--control").arg(place.0.join("control.sock"));
-    let output = command.output().unwrap();
-    assert!(output.status.success(), "{key}: {}", String::from_utf8_lossy(&output.stderr));
-}
-
 fn killed_under_load(name: &str, kills: u64) {
     let place = Place(std::env::temp_dir().join(format!("shaletide-kills-{}-{name}", std::process::id())));
     let _ = std::fs::remove_dir_all(&place.0);
@@ -138,7 +129,7 @@
                 409 => {
                     doubts += 1;
                     if ran(&key) == 0 {
-                        resolve(&place, &key, false);
+                        resolve(&place.0, &key, false);
                         resolved += 1;
                         let status = try_one(proxy.address, &key).expect("an answer");
                         assert!(status == 200 || has_run(&key), "{key}: {status}, never ran");
--- a/crates/shaletide/tests/recorded.rs
+++ b/crates/shaletide/tests/recorded.rs
@@ -3,7 +3,7 @@
 mod rig;
 
 use rig::*;
-use std::path::{Path, PathBuf};
+use std::path::PathBuf;
 use std::process::Command;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -74,14 +74,6 @@
     request("/pay", 2.0, &format!("Idempotency-Key: {key}\r\n"))
 }
 
-/// Nothing else may write while this is held.
-fn locked(store: &Path) -> rusqlite::Connection {
-    let db = rusqlite::Connection::open(store).unwrap();
-    db.busy_timeout(PATIENCE).unwrap();
-    db.execute_batch("BEGIN IMMEDIATE").unwrap();
-    db
-}
-
 #[test]
 fn a_key_that_was_served_is_sent_once() {
     let folder = Folder::new("served");
--- a/crates/shaletide/tests/rig/mod.rs
+++ b/crates/shaletide/tests/rig/mod.rs
@@ -95,3 +95,21 @@
         assert_eq!(client.ask(&request(path, 3.0, "")).status(), 200);
     }
 }
+
+/// Holds SQLite's writing lock, as another program might: nothing else becomes durable meanwhile.
+pub fn locked(store: &std::path::Path) -> rusqlite::Connection {
+    let db = rusqlite::Connection::open(store).unwrap();
+    db.busy_timeout(PATIENCE).unwrap();
+    db.execute_batch("BEGIN IMMEDIATE").unwrap();
+    db
+}
+
+/// `shaletide record resolve` by way of `control.sock`, for `record.db`, both in that folder.
+pub fn resolve(folder: &std::path::Path, key: &str, ran: bool) {
+    let mut command = std::process::Command::new(env!("CARGO_BIN_EXE_shaletide"));
+    command.args(["record", "resolve", key, "--ran", if ran { "yes" } else { "no" }]);
+    command.args(["--by", "jo", "--note", "the box's own record"]).env_remove("NODE_CONFIG");
+    command.arg("--store").arg(folder.join("record.db")).arg("--control").arg(folder.join("control.sock"));
+    let output = command.output().unwrap();
+    assert!(output.status.success(), "{key}: {}", String::from_utf8_lossy(&output.stderr));
+}
--- a/crates/shaletide/tests/windows.rs
+++ b/crates/shaletide/tests/windows.rs
@@ -12,7 +12,6 @@
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::path::{Path, PathBuf};
-use std::process::Command;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{mpsc, Arc, Mutex};
 use std::time::{Duration, Instant};
@@ -220,14 +219,6 @@
     }
 }
 
-/// Holds SQLite's writing lock, as another program might: nothing becomes durable meanwhile.
-fn locked(store: &Path) -> rusqlite::Connection {
-    let db = rusqlite::Connection::open(store).unwrap();
-    db.busy_timeout(PATIENCE).unwrap();
-    db.execute_batch("BEGIN IMMEDIATE").unwrap();
-    db
-}
-
 struct Site {
     folder: PathBuf,
     file: String,
@@ -265,12 +256,7 @@
     }
 
     fn resolve(&self, key: &str, ran: bool) {
-        let mut command = Command::new(env!("CARGO_BIN_EXE_shaletide"));
-        command.args(["record", "resolve", key, "--ran", if ran { "yes" } else { "no" }]);
-        command.args(["--by", "jo", "--note", "the box's own record"]).env_remove("NODE_CONFIG");
-        command.arg("--store").arg(self.store()).arg("--control").arg(self.folder.join("control.sock"));
-        let output = command.output().unwrap();
-        assert!(output.status.success(), "{key}: {}", String::from_utf8_lossy(&output.stderr));
+        resolve(&self.folder, key, ran);
     }
 
     /// Brings a settle of that key into the window, kills the program there, and shows that it was there.
