Load reports and live weights serve estimates, limits and refusals where many proxies share

Change: X-Backend-Load and the list's live weights reach the module (Event::Reported, Backend::weight). crates/balancer/src/loads.rs makes of them: this proxy's part of the traffic (quotas, crowd, slices), what part of the requests there is room for (worth little first), how much of an even part a box bears, latencies of kinds from boxes' own means, and the speed of a kind with the flow of the same answers. Without reports, or with four proxies and fewer, nothing changes. crates/emulate: the fleet on a virtual clock.

--- a/crates/adapter/src/wire.rs
+++ b/crates/adapter/src/wire.rs
@@ -250,6 +250,7 @@
     let entry = Backend {
         cell: CellId(row[1].as_u64().ok_or_else(|| bad("a cell number"))?),
         state,
+        weight: row[5].as_f64().filter(|w| (0.0..=1e6).contains(w)).map_or(0, |w| (w * 1e3).round() as u32),
         booted: booted.filter(|t| *t > 0).map(Time),
         ..Backend::default()
     };
--- a/crates/balancer/src/interface.rs
+++ b/crates/balancer/src/interface.rs
@@ -25,6 +25,8 @@
     pub cross_zone_cost: f64,
     /// Where the list of backends comes from.
     pub discovery: Discovery,
+    /// The list's weights are live: a backend's size over one and the requests that it holds a core.
+    pub live_weights: bool,
     /// Attempts allowed for a request.
     pub max_attempts: u32,
     /// Attempts may be cancelled.
@@ -67,6 +69,7 @@
             goal_worst_class: 0.0,
             cross_zone_cost: 0.0,
             discovery: Discovery::Push,
+            live_weights: false,
             max_attempts: 3,
             cancel: true,
             second_copies: true,
@@ -244,6 +247,8 @@
         /// The attempt.
         attempt: AttemptNo,
     },
+    /// What a backend says of its own load.
+    Reported(BackendId, LoadReport),
     /// An attempt ended.
     AttemptEnded(AttemptEnd),
     /// The client left; no answer is owed.
--- a/crates/balancer/src/lib.rs
+++ b/crates/balancer/src/lib.rs
@@ -6,6 +6,7 @@
 #![warn(missing_docs)]
 
 mod interface;
+mod loads;
 mod rules;
 mod state;
 
--- a/crates/balancer/src/rules.rs
+++ b/crates/balancer/src/rules.rs
@@ -6,6 +6,7 @@
 //! `draw` picks a kind by share and a backend inside it at random. All else is a departure for trouble.
 
 use crate::interface::*;
+use crate::loads::Loads;
 use crate::state::*;
 use shaletide_base::*;
 use std::collections::{BTreeMap, BTreeSet};
@@ -20,12 +21,16 @@
 const RATE_MEMORY: f64 = 2.0;
 /// Samples in a kind's or class's mean: its error is then about a tenth of the spread.
 const KIND_SAMPLES: f64 = 100.0;
+/// ... and where backends say themselves how long they take: each speaks of many requests.
+const TOLD_SAMPLES: f64 = 30.0;
 /// Proxies that share a backend, where there are more: each keeps connections to a slice of the fleet
 /// only, as a backend takes few and each costs it. The load of so many still evens out, to a fifth of one's.
 const SHARED_BY: f64 = 20.0;
 /// Requests that all proxies together hold on one backend: a shared processor at four fifths of its
 /// capacity holds four on average; more only makes every one of them later.
 const HOLD: f64 = 4.0;
+/// ... where all say what they hold, it is this: a mean over many is below what the fullest hold.
+const HOLD_ALL: f64 = 2.2;
 /// Error share from which a backend is ejected: four errors close together reach it. Spoilt answers and
 /// broken connections come from all alike, a few in a hundred: two are chance.
 const ERROR_LIMIT: f64 = 0.3;
@@ -112,6 +117,7 @@
     rate: Rate,
     /// Seconds that this proxy's attempts were out, for each second: its own part of all that is held.
     crowd: Rate,
+    loads: Loads,
     /// The part of the attempts older than so many usual times that were answered.
     answered: [(f64, Mean); 2],
     /// The error share of the middle one of the backends: what is common to all is no fault of any.
@@ -147,6 +153,7 @@
             attempts: BTreeMap::new(),
             rate: Rate::new(RATE_MEMORY),
             crowd: Rate::new(CROWD_MEMORY),
+            loads: Loads::new(cfg.proxies),
             answered: [LOST_AFTER, SILENT_AFTER].map(|age| (age, Mean { value: 1.0, count: FEW })),
             common: 0.0,
             solve_at: Time(0),
@@ -165,7 +172,10 @@
     /// Takes one event that happened at `now` and adds the actions it calls for. `shared` is one allowance
     /// of all pools.
     pub fn handle(&mut self, now: Time, event: Event, shared: &mut Allowance, actions: &mut Vec<Action>) {
-        if !matches!(event, Event::Request(_) | Event::HandedOver(..) | Event::Timer { .. }) {
+        if !matches!(
+            event,
+            Event::Request(_) | Event::HandedOver(..) | Event::Timer { .. } | Event::Reported(..)
+        ) {
             self.blocked = 0.0; // those two make no room, and trying a long line in vain costs too much CPU
         }
         let out = self.attempts.len() as f64;
@@ -184,6 +194,13 @@
                     r.streaming |= r.sent.get(attempt.0 as usize).is_some_and(|s| s.out);
                 }
             }
+            Event::Reported(backend, report) => {
+                let many = self.many();
+                if let Some(p) = self.peers.get_mut(&backend).filter(|_| many) {
+                    self.loads.reported(now, p, &report);
+                }
+                return;
+            }
             Event::AttemptEnded(end) => self.ended(now, end),
             Event::ClientGone { request } => self.close(request),
             // Where its clients' next requests go is not known here.
@@ -206,6 +223,11 @@
         actions.append(&mut self.actions);
     }
 
+    /// So many proxies that one has no room to count at a backend: what the others hold there is to be heard of.
+    fn many(&self) -> bool {
+        f64::from(self.cfg.proxies) > HOLD
+    }
+
     fn members(&mut self, now: Time, update: ListUpdate, list: Vec<Backend>) {
         match (update, self.cfg.discovery) {
             // A lost subscription is asked for again, later each time and not in step with others.
@@ -229,6 +251,9 @@
                 *p = Peer { out: p.out, spent: std::mem::take(&mut p.spent), ..Peer::default() };
             }
             p.entry = entry;
+            if self.cfg.live_weights && f64::from(self.cfg.proxies) > HOLD {
+                self.loads.weighed(now, p);
+            }
         }
         self.peers.retain(|_, p| p.entry.state != BackendState::Gone || p.out > 0);
         self.order = self.peers.keys().copied().collect();
@@ -339,7 +364,7 @@
         shared.extra = (shared.extra + ratio).min(ratio * KIND_SAMPLES);
         shared.buckets.resize(self.cfg.tenants.len(), Bucket::new(RATE_MEMORY, FEW));
         let tenant = new.tenant.and_then(|t| self.cfg.tenants.get(t.0).zip(shared.buckets.get_mut(t.0)));
-        let part = |t: &Tenant| t.quota_per_s / f64::from(self.cfg.proxies);
+        let part = |t: &Tenant| t.quota_per_s / self.loads.fleet();
         let over_quota = tenant.is_some_and(|(t, bucket)| !bucket.take(now, part(t)));
         let aim = c.aim.0.saturating_add(new.work_hint.unwrap_or_default().times(c.aim_stretch).0);
         let (aim, deadline) = (now + Micros(aim).min(new.time_left), now + new.time_left);
@@ -349,7 +374,13 @@
         let value = again * if over_quota { self.cfg.over_quota_worth } else { 1.0 };
         let (class, came, streaming, sent) = (new.class.0, now, false, Vec::new());
         let elsewhere = new.elsewhere;
-        let request = Request { class, came, aim, deadline, value, streaming, elsewhere, sent };
+        // Drawn only where it may matter: without reports the dice fall as they always did.
+        let luck = if self.loads.mean.is_some() || self.many() && self.cfg.live_weights {
+            self.dice.unit()
+        } else {
+            0.0
+        };
+        let request = Request { class, came, aim, deadline, value, luck, streaming, elsewhere, sent };
         self.requests.insert(new.request, request);
         self.held.push(new.request);
     }
@@ -402,7 +433,13 @@
                 self.classes[class].latency.add(secs, KIND_SAMPLES);
                 self.overall.add(secs, KIND_SAMPLES);
                 let plain = secs * self.overall.value / self.classes[class].latency.value;
-                self.kinds.entry(p.entry.kind).or_default().latency.add(plain, KIND_SAMPLES);
+                let kind = self.kinds.entry(p.entry.kind).or_default();
+                // A backend's own mean is over many more than this proxy's.
+                let (secs, cap) =
+                    p.told.latency(now).map_or((plain, KIND_SAMPLES), |own| (own, TOLD_SAMPLES));
+                kind.latency.add(secs, cap);
+                // Of the same answers, so that a kind that gets less is not taken for as slow as it was before.
+                kind.flow.add(kind.comes, cap);
                 (p.answered, p.errors) = (now, p.errors * (1.0 - ERROR_STEP));
                 let part = p.part(class);
                 (part.answered, part.errors) = (now, part.errors * (1.0 - ERROR_STEP));
@@ -577,7 +614,10 @@
         // Where they fail for a reason of all, there is nobody better, unless another pool can be asked.
         let middle = errors.get(errors.len().saturating_sub(1) / 2).filter(|_| !self.cfg.spare);
         self.common = middle.copied().unwrap_or(0.0);
-        let proxies = f64::from(self.cfg.proxies);
+        if self.many() {
+            self.loads.take_stock(now, self.peers.values(), self.cfg.proxies, self.crowd.per_s(), HOLD_ALL);
+            self.loads.settle(now, &mut self.peers, HOLD_ALL);
+        }
         self.kinds.values_mut().for_each(|k| (k.ready, k.cores) = (0.0, 0.0));
         for p in self.peers.values_mut() {
             let k = self.kinds.entry(p.entry.kind).or_default();
@@ -586,22 +626,33 @@
                 Some(_) => f64::from(out > all * PANIC),
                 None => 1.0 - p.errors,
             };
-            p.ready = health * warmth(&self.cfg, now, &p.entry);
+            p.ready = health * warmth(&self.cfg, now, &p.entry) * self.loads.ease(now, p);
             k.ready += p.ready;
             k.cores += p.ready * f64::from(p.entry.cores);
         }
         self.rate.add(now, 0.0);
-        let rate = self.rate.per_s().map(|r| r * proxies);
+        // What is turned away comes to no backend.
+        let carried = self.loads.fleet() * self.loads.admitted(false);
+        let rate = self.rate.per_s().map(|r| r * carried);
+        let told = self.loads.mean.is_some();
         for k in self.kinds.values_mut() {
             let flow = if k.ready > 0.0 { rate.unwrap_or(0.0) * k.share / k.ready } else { 0.0 };
+            k.comes = flow;
+            let flow = k.flow.get().filter(|_| told).unwrap_or(flow);
             k.speed = k.latency.get().map_or(0.0, |t| 1.0 / t + flow);
         }
-        let speeds = self.kinds.values().filter(|k| k.speed > 0.0).map(|k| k.speed);
+        let size = |id: &KindId| self.loads.size(*id);
+        let speeds = self.kinds.iter().filter(|(_, k)| k.speed > 0.0).map(|(id, k)| k.speed / size(id));
         let (sum, count) = speeds.fold((0.0, 0.0), |n, s| (n.0 + s, n.1 + 1.0));
-        let mean = if count > 0.0 { sum / count } else { 1.0 }; // kinds without data: as fast as the others
-        self.kinds.values_mut().filter(|k| k.speed == 0.0).for_each(|k| k.speed = mean);
+        // Kinds without data: as fast as the others, or as the list's sizes have it.
+        let mean = if count > 0.0 { sum / count } else { 1.0 };
+        let unknown = self.kinds.iter_mut().filter(|(_, k)| k.speed == 0.0);
+        unknown.for_each(|(id, k)| k.speed = mean * self.loads.size(*id));
         let table: Vec<(f64, f64)> = self.kinds.values().map(|k| (k.ready, k.speed)).collect();
-        let shares = halb_shares(&table, rate.filter(|_| count > 0.0));
+        // Without data there is no rate to go by but the most that they can take: by size, then, as by count.
+        let most = table.iter().map(|k| k.0 * k.1).sum::<f64>();
+        let rate = if count > 0.0 { rate } else { self.loads.sized().then_some(most) };
+        let shares = halb_shares(&table, rate);
         self.kinds.values_mut().zip(shares).for_each(|(k, share)| k.share = share);
         self.allot();
     }
@@ -610,7 +661,7 @@
     /// traffic stays near so far as all proxies together still give every backend the same part: a zone
     /// whose backends are due less than its proxies bring sends its surplus to the zones due more.
     fn allot(&mut self) {
-        let proxies = f64::from(self.cfg.proxies);
+        let fleet = self.loads.fleet();
         let part = |kinds: &BTreeMap<KindId, Kind>, p: &Peer| {
             kinds.get(&p.entry.kind).map_or(0.0, |k| k.share * p.ready / k.ready.max(1e-9))
         };
@@ -620,37 +671,49 @@
         let zones = due.len() as f64;
         let rich: f64 = due.values().map(|d| (d * zones - 1.0).max(0.0)).sum();
         let own = due.get(&self.cfg.zone).copied().unwrap_or(0.0);
-        self.kinds.values_mut().for_each(|k| (k.pull, k.walked) = (0.0, 0.0));
+        self.kinds.values_mut().for_each(|k| (k.pull, k.walked, k.count) = (0.0, 0.0, 0.0));
         let mut reached = 0.0;
         for p in self.peers.values_mut() {
             let here = due.get(&p.entry.zone).map_or(0.0, |d| d.max(1e-9));
             let far = (1.0 - own * zones).max(0.0) * (here * zones - 1.0).max(0.0) / rich.max(1e-9);
             let near = if p.entry.zone == self.cfg.zone { (own * zones).min(1.0) } else { far };
-            let bias = if self.cfg.cross_zone_cost > 0.0 && here > 0.0 { near / here } else { 1.0 };
+            let bias = if self.loads.mean.is_none() && self.cfg.cross_zone_cost > 0.0 && here > 0.0 {
+                near / here
+            } else {
+                1.0
+            };
             // Half of the room for all goes by that part, half evenly; each has a room of one at least, as
             // more proxies than the hold would wait for turns. There `crowded` keeps the hold.
             let turn = p.entry.mark.wrapping_add(u64::from(self.cfg.position));
-            let coin = ((turn % u64::from(self.cfg.proxies)) as f64 + 0.5) / proxies;
-            let fair = HOLD / proxies * p.ready * f64::from(p.entry.cores);
+            let coin = ((turn % u64::from(self.cfg.proxies)) as f64 + 0.5) / f64::from(self.cfg.proxies);
+            let fair = HOLD / fleet * p.ready * f64::from(p.entry.cores);
             p.room = (fair * (0.5 + 0.5 * bias) + coin).floor().max(1.0);
             // The trace takes the overflow where all that have a part are full.
             let drawn = part(&self.kinds, p) * bias;
             p.pull = drawn + p.ready * 1e-6;
             reached += f64::from(drawn > 0.0);
-            self.kinds.entry(p.entry.kind).or_default().pull += p.pull;
+            let k = self.kinds.entry(p.entry.kind).or_default();
+            k.pull += p.pull;
+            k.count += 1.0;
         }
         // This proxy's slice of each kind: the same width for all, begun at evenly spread places, so that all
         // slices together cover every backend by its pull.
-        let width = (SHARED_BY / proxies * self.peers.len() as f64 / reached.max(1.0)).min(1.0);
+        let width = (SHARED_BY / fleet * self.peers.len() as f64 / reached.max(1.0)).min(1.0);
         let start = (f64::from(self.cfg.position) * 0.618_033_988_749_895).fract();
         for id in &self.order {
             let Some(p) = self.peers.get_mut(id) else { continue };
             let k = self.kinds.entry(p.entry.kind).or_default();
-            let from = k.walked / k.pull.max(1e-9);
-            k.walked += p.pull;
-            let to = k.walked / k.pull.max(1e-9);
+            // Where pulls follow what backends say they move all the time: by count a slice stays where it is.
+            let told = self.loads.mean.is_some();
+            let (pull, all) = if told { (1.0, k.count) } else { (p.pull, k.pull) };
+            let from = k.walked / all.max(1e-9);
+            k.walked += pull;
+            let to = k.walked / all.max(1e-9);
             let inside = |start: f64| (to.min(start + width) - from.max(start)).max(0.0);
             p.slice = inside(start) + inside(start - 1.0);
+            if told {
+                p.slice *= p.pull;
+            }
         }
     }
 
@@ -661,7 +724,7 @@
             return f64::MAX;
         }
         let proxies = f64::from(self.cfg.proxies);
-        let fair = self.rate.per_s().unwrap_or(1.0) * proxies / self.peers.len() as f64;
+        let fair = self.rate.per_s().unwrap_or(1.0) * self.loads.fleet() / self.peers.len() as f64;
         // Against few ready backends the speed formula overshoots; twice the bare 1/T is sure.
         let sure = |k: &Kind| k.latency.get().map(|t| k.speed.min(2.0 * f64::from(p.entry.cores) / t));
         let speed = self.kinds.get(&p.entry.kind).and_then(sure).unwrap_or(fair);
@@ -718,7 +781,7 @@
                 // Never overfill: a crowded backend slows for long, so a full one is drawn again.
                 let room = if r.value < LOW { (p.room / 2.0).ceil() } else { p.room };
                 if f64::from(p.out.saturating_sub(p.lost)) < room {
-                    open.push((b, p.entry.kind, p.slice + p.pull * 1e-6)); // the rest: a last resort
+                    open.push((b, p.entry.kind, p.slice + p.pull * 1e-9)); // the rest: a last resort
                 }
             }
         }
@@ -740,11 +803,16 @@
     /// Whether all proxies together hold too much, as far as one tells that has no room to count: it takes
     /// the others to be like itself. With load / (1 - load) held, twice the hold is a load of eight ninths,
     /// half of it two thirds. Turned away at once does no harm; waiting here would make no room.
-    fn crowded(&self, value: f64) -> bool {
+    fn crowded(&self, value: f64, luck: f64) -> bool {
+        if luck > self.loads.admitted(value < LOW) {
+            return true;
+        }
         let proxies = f64::from(self.cfg.proxies);
         let ready: f64 = self.kinds.values().map(|k| k.cores).sum();
         let limit = if value < LOW { HOLD / 2.0 } else { HOLD * 2.0 };
-        let held = self.crowd.per_s().unwrap_or(0.0) * proxies;
+        // Without news this proxy may be the one that is cut off: then it is no measure of the others.
+        let like = if self.loads.mean.is_some() { self.loads.fleet() } else { proxies };
+        let held = self.crowd.per_s().unwrap_or(0.0) * like;
         proxies > HOLD && held > limit * ready
     }
 
@@ -769,7 +837,7 @@
             }
             let Some(mut r) = self.requests.remove(&id) else { continue };
             let (again, work) = (r.sent.iter().any(|s| !s.unsent), self.work(r.class));
-            let refused = !again && self.crowded(r.value);
+            let refused = !again && self.crowded(r.value, r.luck);
             let sendable = self.may_send(now, &r) && (!again || shared.extra >= 1.0) && !refused;
             let drawn = if sendable { Some(self.draw(now, &r)) } else { None };
             let over = match drawn {
--- a/crates/balancer/src/state.rs
+++ b/crates/balancer/src/state.rs
@@ -1,5 +1,6 @@
 //! What a proxy remembers: running estimates and plain records. No decisions.
 
+use crate::loads::Told;
 use rand_core::{RngCore, SeedableRng};
 use rand_pcg::Pcg32;
 use shaletide_base::*;
@@ -138,17 +139,22 @@
 pub(crate) struct Kind {
     /// Seconds from dispatch to answer, of served requests only, with the class mix taken out.
     pub latency: Mean,
+    /// Requests a second that came to one of its backends, as each of those was served.
+    pub flow: Mean,
     /// Sum of its backends' readiness, and the same by cores.
     pub ready: f64,
     pub cores: f64,
-    /// Requests a second that one backend could serve.
+    /// Requests a second that one backend could serve, and that come to one.
     pub speed: f64,
+    pub comes: f64,
     /// Part of all proxies' traffic.
     pub share: f64,
     /// Part of this proxy's traffic.
     pub pull: f64,
     /// The pull of its backends passed so far, while slices are cut.
     pub walked: f64,
+    /// How many backends there are of it.
+    pub count: f64,
 }
 
 /// What is known of a backend.
@@ -183,6 +189,8 @@
     pub spent: Vec<(Time, f64)>,
     /// The same by class, as far as it has met them: see `part`.
     pub parts: Vec<Part>,
+    /// What it says of its own load.
+    pub told: Told,
 }
 
 impl Peer {
@@ -263,6 +271,8 @@
     pub deadline: Time,
     /// Its worth beside a first try within quota.
     pub value: f64,
+    /// Drawn once, from 0 to 1: where only a part is let in, those below that part are.
+    pub luck: f64,
     pub streaming: bool,
     /// Another pool can be asked where this one can take nothing.
     pub elsewhere: bool,
--- a/crates/config/src/operator/basics.rs
+++ b/crates/config/src/operator/basics.rs
@@ -119,6 +119,7 @@
         ramp: rules.span(desk, "ramp").or(Micros(0)),
         // Both follow from the pools, which the daemon knows.
         spare: false,
+        live_weights: false,
         only_realm: Some(0),
         fall_multiple: number(desk, rules, "fall_multiple"),
         fall_window: rules.span(desk, "fall_window").or(Micros(0)),
--- a/crates/config/src/platform.rs
+++ b/crates/config/src/platform.rs
@@ -196,6 +196,7 @@
         goal_worst_class: goal.get("worst_class").part()?,
         cross_zone_cost: root.get("costs").get("cross_zone").at_least_zero()?,
         discovery,
+        live_weights: root.get("weight_source").value.and_then(Value::as_str) == Some("live"),
         max_attempts: limits.get("max_attempts").some_count()?,
         cancel: limits.get("cancel").flag()?,
         second_copies: limits.get("parallel_tries").flag()?,
--- /dev/null
+++ b/crates/emulate/src/day.rs
@@ -0,0 +1,272 @@
+//! What a day is made of.
+
+use shaletide_balancer::{Class, Config, Discovery, Tenant};
+use shaletide_base::*;
+use shaletide_testkit::{Dice, Law, Power};
+
+/// A sort of request.
+#[derive(Clone, Debug)]
+pub struct Sort {
+    /// Its name.
+    pub name: &'static str,
+    /// Its part of all.
+    pub share: f64,
+    /// What the module is told of it.
+    pub class: Class,
+    /// A client waits so long at most.
+    pub deadline: Micros,
+    /// Work, ms of a standard core.
+    pub work_ms: Law,
+    /// Waiting that needs no core, ms.
+    pub io_ms: Law,
+}
+
+/// A kind of box.
+#[derive(Clone, Debug)]
+pub struct Kind {
+    /// Its part of all boxes.
+    pub share: f64,
+    /// The speed of its core; each box draws its own.
+    pub speed: Law,
+    /// The list's size of one that holds nothing.
+    pub size: f64,
+    /// The part of its speed that a box has as it starts, and how long it takes to warm.
+    pub cold: (f64, Micros),
+}
+
+/// What boxes have in common.
+#[derive(Clone, Debug)]
+pub struct Boxes {
+    /// Requests in service and waiting, at most.
+    pub slots: (u32, u32),
+    /// Connections, at most.
+    pub connections: u32,
+    /// A new one takes so long, and costs so much work.
+    pub handshake: (Micros, f64),
+    /// One that is idle for so long is closed.
+    pub idle: Micros,
+    /// More requests than this in the mean over some time make it slow ...
+    pub crowded: f64,
+    /// ... by this factor, until it was mostly idle for some seconds.
+    pub slower: f64,
+}
+
+/// What the boxes say of their load.
+#[derive(Clone, Debug)]
+pub struct Reports {
+    /// It is renewed so often.
+    pub period: Micros,
+    /// It is so old when it can first be read.
+    pub lag: Micros,
+    /// Each figure is off by this part at most.
+    pub noise: f64,
+    /// This part of the boxes says what it likes.
+    pub liars: f64,
+    /// This part says nothing.
+    pub silent: f64,
+}
+
+/// Something that goes wrong.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Trouble {
+    /// So many times the usual traffic.
+    Burst(f64),
+    /// This part of the proxies dies and is back, with nothing, a second later.
+    Herd(f64),
+    /// This part of the boxes is replaced, evenly over the time, by cold ones; the old ones drain.
+    Replace(f64),
+    /// All boxes are so many times slower.
+    Slow(f64),
+    /// This part of the boxes takes requests and never answers.
+    Silent(f64),
+}
+
+/// A day.
+#[derive(Clone, Debug)]
+pub struct Day {
+    /// Its name.
+    pub name: &'static str,
+    /// Of all its dice.
+    pub seed: u64,
+    /// How long it lasts.
+    pub length: Micros,
+    /// Proxies, and what they are told that there are.
+    pub proxies: u32,
+    /// The count that they are told; as many as there are, else.
+    pub told: u32,
+    /// How unevenly the front deals: 0 is even, 1 gives some several times the mean. One proxy may be given so many
+    /// times the mean by `hot`.
+    pub uneven: f64,
+    /// The first proxy gets so many times the mean; 1 is as the others.
+    pub hot: f64,
+    /// Boxes.
+    pub boxes: u32,
+    /// Zones.
+    pub zones: u32,
+    /// Traffic as a part of what all boxes can do.
+    pub load: f64,
+    /// The sorts of requests.
+    pub sorts: Vec<Sort>,
+    /// The kinds of boxes.
+    pub kinds: Vec<Kind>,
+    /// What boxes have in common.
+    pub common: Boxes,
+    /// Reports, in answers and as the list's weights; none where boxes say nothing.
+    pub reports: Option<Reports>,
+    /// News of the list comes so late.
+    pub list_lag: Micros,
+    /// One way between proxy and box, and more between zones.
+    pub net: (Micros, Micros),
+    /// Tenants' quotas, as parts of what all boxes can do; what they ask for as parts of the traffic.
+    pub tenants: Vec<(f64, f64)>,
+    /// A client that is refused comes again so often.
+    pub retries: u32,
+    /// What goes wrong, from when to when.
+    pub troubles: Vec<(Micros, Micros, Trouble)>,
+}
+
+const fn ms(ms: u64) -> Micros {
+    Micros(ms * 1_000)
+}
+
+impl Day {
+    /// A day without troubles.
+    pub fn calm(proxies: u32, boxes: u32, load: f64, seed: u64) -> Day {
+        let sort = |name, share, worth, aim: u64, deadline: u64, effect, work: f64| Sort {
+            name,
+            share,
+            class: Class { aim: ms(aim), aim_stretch: 0.0, effect, worth, late_worth: 0.25 },
+            deadline: ms(deadline),
+            work_ms: Law::LogNormal(work, 0.55),
+            io_ms: Law::Even(20.0, 36.0),
+        };
+        let keyed = Effect::Keyed(KeyScope::Cell, ms(1_800));
+        Day {
+            name: "calm",
+            seed,
+            length: ms(20_000),
+            proxies,
+            told: proxies,
+            uneven: 0.5,
+            hot: 1.0,
+            boxes,
+            zones: 5,
+            load,
+            sorts: vec![
+                sort("lot-view", 0.33, 3.0, 600, 1_200, Effect::Free, 45.0),
+                sort("clock-price", 0.30, 5.0, 300, 600, Effect::Free, 60.0),
+                sort("bid", 0.19, 5.0, 600, 3_000, keyed, 58.0),
+                sort("settle", 0.18, 8.0, 600, 1_500, Effect::Unsafe, 52.0),
+            ],
+            kinds: vec![
+                Kind { share: 0.6, speed: Law::LogNormal(1.8, 0.17), size: 2.0, cold: (0.25, ms(16_000)) },
+                Kind { share: 0.4, speed: Law::LogNormal(0.88, 0.12), size: 1.0, cold: (0.25, ms(14_000)) },
+            ],
+            common: Boxes {
+                slots: (7, 16),
+                connections: 120,
+                handshake: (ms(4), 1.6),
+                idle: ms(10_000),
+                crowded: 6.5,
+                slower: 2.8,
+            },
+            reports: Some(Reports { period: ms(1_000), lag: ms(300), noise: 0.04, liars: 0.0, silent: 0.0 }),
+            list_lag: ms(400),
+            net: (ms(1), ms(4)),
+            tenants: vec![(0.50, 0.62), (0.21, 0.26), (0.10, 0.12)],
+            retries: 1,
+            troubles: Vec::new(),
+        }
+    }
+
+    /// The same with a trouble from one second to another.
+    pub fn with(mut self, name: &'static str, from_s: u64, to_s: u64, trouble: Trouble) -> Day {
+        self.name = name;
+        self.troubles.push((ms(from_s * 1_000), ms(to_s * 1_000), trouble));
+        self
+    }
+
+    /// A day by its name: `calm` has a burst, `herd` loses seven in ten proxies, `join` gets six in ten boxes anew,
+    /// `split` has a fifth of the boxes silent, `slow` has all of them slow.
+    pub fn named(name: &str, proxies: u32, boxes: u32, seed: u64) -> Option<Day> {
+        let calm = |load| Day::calm(proxies, boxes, load, seed);
+        Some(match name {
+            "calm" => calm(0.8).with("calm", 9, 13, Trouble::Burst(1.5)),
+            "herd" => {
+                calm(0.7).with("herd", 8, 9, Trouble::Herd(0.7)).with("herd", 7, 13, Trouble::Replace(0.3))
+            }
+            "join" => calm(0.6).with("join", 6, 13, Trouble::Replace(0.6)),
+            "split" => calm(0.7).with("split", 6, 12, Trouble::Silent(0.2)),
+            "slow" => calm(0.55).with("slow", 7, 11, Trouble::Slow(2.0)),
+            _ => return None,
+        })
+    }
+
+    /// The names that [`Day::named`] knows.
+    pub const NAMES: [&'static str; 5] = ["calm", "herd", "join", "split", "slow"];
+
+    /// What the module of one proxy is told; `proxies` is 1 for one that sees all.
+    pub(crate) fn config(&self, proxies: u32, position: u32, zone: ZoneId, live: bool) -> Config {
+        let capacity = self.capacity();
+        Config {
+            proxies,
+            position,
+            zone,
+            classes: self.sorts.iter().map(|s| s.class.clone()).collect(),
+            tenants: self.tenants.iter().map(|t| Tenant { quota_per_s: t.0 * capacity }).collect(),
+            over_quota_worth: 0.1,
+            goal_whole: 0.45,
+            goal_worst_class: 0.3,
+            cross_zone_cost: 0.03,
+            discovery: Discovery::Push,
+            live_weights: live,
+            max_attempts: 5,
+            tick: Micros(1_000),
+            cold_from: 0.14,
+            ramp: ms(24_000),
+            fall_multiple: 3.0,
+            fall_window: ms(1_000),
+            ..Config::example()
+        }
+    }
+
+    /// Work of a request in the mean, ms.
+    pub fn work_ms(&self) -> f64 {
+        let all: f64 = self.sorts.iter().map(|s| s.share).sum();
+        self.sorts.iter().map(|s| s.share * s.work_ms.mean()).sum::<f64>() / all
+    }
+
+    /// Requests a second that all boxes together could serve.
+    pub fn capacity(&self) -> f64 {
+        let speed: f64 = self.kinds.iter().map(|k| k.share * k.speed.mean()).sum();
+        f64::from(self.boxes) * speed * 1e3 / self.work_ms()
+    }
+
+    /// Each proxy's part of the traffic.
+    pub(crate) fn parts(&self) -> Vec<f64> {
+        let mut dice = Dice::of(self.seed, "front");
+        let law = Law::LogNormal(1.0, self.uneven.max(1e-9));
+        let mut parts: Vec<f64> = (0..self.proxies).map(|_| law.draw(&mut dice)).collect();
+        let mean = parts.iter().sum::<f64>() / parts.len().max(1) as f64;
+        if self.hot != 1.0 {
+            parts[0] = mean * self.hot;
+        }
+        let all: f64 = parts.iter().sum();
+        parts.iter().map(|p| p / all).collect()
+    }
+
+    /// The kind, power and warm-up of the box of that number.
+    pub(crate) fn draw_box(&self, number: u32) -> (usize, Power) {
+        let mut dice = Dice::of(self.seed, &format!("box {number}"));
+        let mut left = dice.part();
+        let last = self.kinds.len() - 1;
+        let kind = self.kinds.iter().position(|k| {
+            left -= k.share;
+            left < 0.0
+        });
+        let kind = kind.unwrap_or(last);
+        let k = &self.kinds[kind];
+        let (cold_from, ramp) = k.cold;
+        (kind, Power { cores: 1, speed: k.speed.draw(&mut dice).max(0.1), cold_from, ramp })
+    }
+}
--- /dev/null
+++ b/crates/emulate/src/main.rs
@@ -0,0 +1,83 @@
+//! `shaletide-emulate`: a day played by several deciders, side by side.
+
+use clap::Parser;
+use shaletide_emulate::account::ENDS;
+use shaletide_emulate::{play, Day, Who};
+use std::process::ExitCode;
+use std::time::Instant;
+
+/// A fleet on a virtual clock: what clients get of random choice, of the program without and with reports, and of one
+/// module that sees all. Status 1 where a rule broke.
+#[derive(Debug, Parser)]
+#[command(name = "shaletide-emulate", version)]
+struct Cli {
+    /// The day: calm, herd, join, split or slow; or all.
+    #[arg(long, default_value = "calm")]
+    day: String,
+    /// Proxies.
+    #[arg(long, default_value_t = 300, value_parser = clap::value_parser!(u32).range(1..=1000))]
+    proxies: u32,
+    /// Boxes.
+    #[arg(long, default_value_t = 190, value_parser = clap::value_parser!(u32).range(1..=2000))]
+    boxes: u32,
+    /// The seed of all dice.
+    #[arg(long, default_value_t = 1)]
+    seed: u64,
+    /// How long the day lasts.
+    #[arg(long, default_value_t = 20, value_parser = clap::value_parser!(u64).range(1..=3600))]
+    seconds: u64,
+    /// Show what was served second by second.
+    #[arg(long)]
+    by_second: bool,
+}
+
+fn main() -> ExitCode {
+    let cli = Cli::parse();
+    let names: Vec<&str> = if cli.day == "all" { Day::NAMES.to_vec() } else { vec![&cli.day] };
+    let mut sound = true;
+    for name in names {
+        let Some(mut day) = Day::named(name, cli.proxies, cli.boxes, cli.seed) else {
+            eprintln!("shaletide-emulate: no day {name:?}; there are {}", Day::NAMES.join(", "));
+            return ExitCode::from(2);
+        };
+        day.length = shaletide_base::Micros(cli.seconds * 1_000_000);
+        println!(
+            "{name}: {} proxies, {} boxes, seed {}, {} s",
+            cli.proxies, cli.boxes, cli.seed, cli.seconds
+        );
+        for who in Who::ALL {
+            let begun = Instant::now();
+            let played = play(&day, who);
+            let a = &played.account;
+            let tries = a.ends.iter().sum::<u64>().max(1) as f64;
+            let ends =
+                ENDS.iter().map(|(end, text)| format!("{text} {:.3}", a.ends[*end as usize] as f64 / tries));
+            println!(
+                "  {:<18} worth {:.3}, worst class {:.3}, refused {:.3}, p50 {} ms, p99 {} ms, handshakes {:.2} a try, \
+                 crowded {}, rules broken {}, coldest at {:.2}, {:.1} s",
+                who.name(),
+                a.served_worth(),
+                a.worst_class(),
+                a.refused_part(),
+                a.latency.value_at_quantile(0.5) / 1_000,
+                a.latency.value_at_quantile(0.99) / 1_000,
+                a.handshakes as f64 / tries,
+                a.crowdings,
+                played.watch.count,
+                played.watch.fullest,
+                begun.elapsed().as_secs_f64(),
+            );
+            println!("    {}", ends.collect::<Vec<_>>().join(", "));
+            if cli.by_second {
+                let parts: Vec<String> = a.by_second().iter().map(|p| format!("{:.0}", p * 100.0)).collect();
+                println!("    served by second, %: {}", parts.join(" "));
+            }
+            // Random choice keeps no rule but by luck.
+            if who != Who::Random && played.watch.count > 0 {
+                println!("    broken: {:?}", played.watch.broken);
+                sound = false;
+            }
+        }
+    }
+    ExitCode::from(u8::from(!sound))
+}
--- /dev/null
+++ b/crates/emulate/src/rules.rs
@@ -0,0 +1,84 @@
+//! The four rules, watched from outside the modules: by what the emulated hosts sent and answered.
+
+use shaletide_base::*;
+use std::collections::{BTreeMap, VecDeque};
+
+/// A rule that broke.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Broken {
+    /// A request was answered twice, or not before its time was up.
+    Answer(RequestId),
+    /// An effect may have happened twice.
+    Twice(RequestId),
+    /// A refusal of what may have run.
+    Refusal(RequestId),
+    /// Something new to a box so long after the news that it drains or is gone.
+    Drain(BackendId, Micros),
+    /// A cold box was sent more than it can bear, in thousandths of that.
+    PushedOver(BackendId, u64),
+}
+
+/// So many are kept.
+const KEPT: usize = 20;
+/// Chance alone may bring so much more in a short window.
+const SLACK: f64 = 1.15;
+
+/// The watch.
+#[derive(Clone, Debug, Default)]
+pub struct Watch {
+    /// The first that broke.
+    pub broken: Vec<Broken>,
+    /// How many broke.
+    pub count: u64,
+    cold: BTreeMap<BackendId, VecDeque<(Time, f64)>>,
+    /// The most that a cold box was sent in a window, as a part of what it bears.
+    pub fullest: f64,
+}
+
+impl Watch {
+    /// Notes it.
+    pub fn broke(&mut self, what: Broken) {
+        self.count += 1;
+        if self.broken.len() < KEPT {
+            self.broken.push(what);
+        }
+    }
+
+    /// A request that may run in any of these boxes already, each with its cell and when, is sent to another.
+    pub fn sent(&mut self, now: Time, id: RequestId, effect: Effect, ran: &[(CellId, Time)], to: CellId) {
+        let fine = match effect {
+            Effect::Free => true,
+            Effect::Unsafe => ran.is_empty(),
+            Effect::Keyed(_, window) => ran.iter().all(|(cell, at)| *cell == to && now < *at + window),
+        };
+        if !fine {
+            self.broke(Broken::Twice(id));
+        }
+    }
+
+    /// It was refused while these may have run.
+    pub fn refused(&mut self, id: RequestId, effect: Effect, ran: &[(CellId, Time)]) {
+        if !ran.is_empty() && effect != Effect::Free {
+            self.broke(Broken::Refusal(id));
+        }
+    }
+
+    /// Work, s of a standard core, came to a box that bears so much in the window.
+    pub fn came(&mut self, now: Time, to: BackendId, work_s: f64, bears: f64, window: Micros) {
+        let sums = self.cold.entry(to).or_default();
+        sums.push_back((now, work_s));
+        while sums.front().is_some_and(|(at, _)| now - *at >= window) {
+            sums.pop_front();
+        }
+        // One that is heavy alone is nobody's fault.
+        if sums.len() < 3 {
+            return;
+        }
+        let part = sums.iter().map(|s| s.1).sum::<f64>() / bears.max(1e-9);
+        self.fullest = self.fullest.max(part);
+        if part > SLACK {
+            sums.clear();
+            self.broke(Broken::PushedOver(to, (part * 1e3) as u64));
+        }
+    }
+}
--- /dev/null
+++ b/crates/emulate/src/site.rs
@@ -0,0 +1,169 @@
+//! A box of the emulated fleet: the station of `testkit`, and around it what a crowd does to it, the connections that
+//! it takes, and what it says of its load.
+
+use crate::day::{Boxes, Reports};
+use shaletide_base::*;
+use shaletide_testkit::{Admitted, Demand, Dice, Power, Station, Step};
+use std::collections::VecDeque;
+
+/// Memory of how many it holds, s.
+const CROWD_S: f64 = 2.0;
+/// It is looked at so often.
+pub const LOOK: Micros = Micros(100_000);
+/// A crowded one is itself again when it was busy for less than this part over [`REST_S`], or after [`MOST_S`].
+const REST_BUSY: f64 = 0.3;
+const REST_S: f64 = 3.0;
+const MOST_S: f64 = 24.0;
+
+/// What it says, and when that can be read.
+#[derive(Clone, Copy, Debug)]
+struct Said {
+    from: Time,
+    report: LoadReport,
+    /// What it holds.
+    held: f64,
+}
+
+pub struct Site {
+    pub station: Station,
+    pub power: Power,
+    pub booted: Option<Time>,
+    common: Boxes,
+    reports: Option<Reports>,
+    dice: Dice,
+    lies: bool,
+    mute: bool,
+    crowd: f64,
+    busy: f64,
+    crowded_since: Option<Time>,
+    slowed: f64,
+    /// Takes requests and never answers.
+    pub silent: bool,
+    pub connections: u32,
+    said: VecDeque<Said>,
+    next_report: Time,
+    served: (f64, f64),
+    /// Times that it was crowded.
+    pub crowdings: u32,
+}
+
+impl Site {
+    pub fn new(
+        number: u32, seed: u64, power: Power, booted: Option<Time>, common: &Boxes, reports: &Option<Reports>,
+    ) -> Site {
+        let mut dice = Dice::of(seed, &format!("site {number}"));
+        let (lies, mute) = (dice.part(), dice.part());
+        let first = Micros((dice.part() * reports.as_ref().map_or(1.0, |r| r.period.0 as f64)) as u64);
+        Site {
+            station: Station::new(power, booted, common.slots.0, common.slots.1),
+            power,
+            booted,
+            common: common.clone(),
+            lies: reports.as_ref().is_some_and(|r| lies < r.liars),
+            mute: reports.as_ref().is_some_and(|r| mute < r.silent),
+            reports: reports.clone(),
+            dice,
+            crowd: 0.0,
+            busy: 0.0,
+            crowded_since: None,
+            slowed: 1.0,
+            silent: false,
+            connections: 0,
+            said: VecDeque::new(),
+            next_report: booted.unwrap_or_default() + first,
+            served: (0.0, 0.0),
+            crowdings: 0,
+        }
+    }
+
+    pub fn held(&self) -> f64 {
+        (self.station.in_service() + self.station.queued()) as f64
+    }
+
+    pub fn arrive(&mut self, now: Time, id: u64, demand: Demand) -> Admitted {
+        self.station.arrive(now, id, demand)
+    }
+
+    pub fn advance(&mut self, now: Time) -> Vec<Step> {
+        self.station.advance(now)
+    }
+
+    /// One was served that came so long ago.
+    pub fn told_served(&mut self, took: Micros) {
+        self.served = (self.served.0 + took.secs(), self.served.1 + 1.0);
+    }
+
+    /// From now on so many times slower, for a reason of all.
+    pub fn slow(&mut self, now: Time, factor: f64) {
+        self.slowed = factor;
+        self.apply(now);
+    }
+
+    fn apply(&mut self, now: Time) {
+        let crowd = if self.crowded_since.is_some() { self.common.slower } else { 1.0 };
+        self.station.slow(now, self.slowed * crowd);
+    }
+
+    /// Looks at itself, once every [`LOOK`].
+    pub fn look(&mut self, now: Time) {
+        let held = self.held();
+        let step = |memory: f64| 1.0 - (-LOOK.secs() / memory).exp();
+        self.crowd += (held - self.crowd) * step(CROWD_S);
+        self.busy += (f64::from(held > 0.0) - self.busy) * step(REST_S / 2.0);
+        match self.crowded_since {
+            None if self.crowd > self.common.crowded => {
+                self.crowded_since = Some(now);
+                self.crowdings += 1;
+                self.apply(now);
+            }
+            Some(since) => {
+                let age = (now - since).secs();
+                if age > MOST_S || age > REST_S && self.busy < REST_BUSY {
+                    (self.crowded_since, self.crowd) = (None, 0.0);
+                    self.apply(now);
+                }
+            }
+            None => {}
+        }
+        let Some(reports) = self.reports.as_ref().filter(|_| now >= self.next_report) else { return };
+        let noise = 1.0 + (self.dice.part() * 2.0 - 1.0) * reports.noise;
+        let latency = if self.served.1 > 0.0 { self.served.0 / self.served.1 * 1e3 } else { 0.0 };
+        let honest = LoadReport {
+            in_flight: Some(held * noise),
+            errors_per_s: Some(0.0),
+            latency_ms: Some(latency * noise),
+        };
+        let lie = [f64::NAN, -5.0, 1e300, 0.0, f64::INFINITY, 1e6][(self.dice.word() % 6) as usize];
+        let report = match () {
+            () if self.lies => {
+                LoadReport { in_flight: Some(lie), errors_per_s: Some(lie), latency_ms: Some(lie) }
+            }
+            () if self.mute => LoadReport::default(),
+            () => honest,
+        };
+        let held = if self.lies { lie.clamp(0.0, 1e6) } else { held * noise };
+        self.said.push_back(Said { from: now + reports.lag, report, held });
+        (self.served, self.next_report) = ((0.0, 0.0), now + reports.period);
+        while self.said.len() > 8 {
+            self.said.pop_front();
+        }
+    }
+
+    fn readable(&self, now: Time) -> Option<&Said> {
+        self.said.iter().rev().find(|s| s.from <= now)
+    }
+
+    /// What stands in an answer now.
+    pub fn report(&self, now: Time) -> Option<LoadReport> {
+        self.readable(now).map(|s| s.report)
+    }
+
+    /// The list's weight of a box of that size, in thousandths.
+    pub fn weight(&self, now: Time, size: f64) -> u32 {
+        match (&self.reports, self.readable(now)) {
+            (None, _) => 0,
+            (Some(_), _) if self.mute => 0,
+            (Some(_), said) => (size * 1e3 / (1.0 + said.map_or(0.0, |s| s.held))).round() as u32,
+        }
+    }
+}
--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -187,6 +187,12 @@
                     }
                 }
             }
+            Event::Reported { conn, report } => {
+                let backend = self.conns.all.get(&conn).filter(|c| !c.old).map(|c| c.backend);
+                if let Some((backend, place)) = backend.and_then(|b| Some((b, self.backends.get(&b)?))) {
+                    self.tell.push_back(pools::Event::Reported { pool: place.pool, backend, report });
+                }
+            }
             Event::Answered { conn, verdict, keep, behind } => {
                 self.answered(
                     now,
--- a/crates/engine/src/event.rs
+++ b/crates/engine/src/event.rs
@@ -91,6 +91,13 @@
         /// The connection.
         conn: ConnId,
     },
+    /// What the backend at the other end of a connection says of its own load, in an answer that is about to be told.
+    Reported {
+        /// The connection.
+        conn: ConnId,
+        /// What it says.
+        report: LoadReport,
+    },
     /// A whole answer came.
     Answered {
         /// The connection.
--- a/crates/engine/src/monitor/record.rs
+++ b/crates/engine/src/monitor/record.rs
@@ -150,7 +150,7 @@
             Event::Spoilt { conn } | Event::Ended { conn } => self.cut(*conn, false),
             Event::Unfit { conn } => self.unfit(*conn),
             Event::Closed { conn, written } => self.cut(*conn, *written),
-            Event::GiveUp { .. } | Event::Wake => {}
+            Event::GiveUp { .. } | Event::Reported { .. } | Event::Wake => {}
         }
     }
 
--- a/crates/explore/src/timeline.rs
+++ b/crates/explore/src/timeline.rs
@@ -95,6 +95,7 @@
             format!("{}: connection {} does not come up{blame}", to(conn), conn.0)
         }
         Event::Written { conn } => format!("shell: the last byte has gone on connection {}", conn.0),
+        Event::Reported { conn, .. } => format!("{}: says how loaded it is", to(conn)),
         Event::Answered { conn, verdict, keep, behind } => {
             let what = match verdict {
                 Verdict::Served => "the answer",
--- a/crates/http/src/errand.rs
+++ b/crates/http/src/errand.rs
@@ -7,7 +7,7 @@
 use hyper::ext::on_informational;
 use hyper::header::{HeaderName, HeaderValue, CONNECTION, CONTENT_LENGTH, HOST, TRANSFER_ENCODING};
 use hyper::{HeaderMap, Method, Request, StatusCode, Uri, Version};
-use shaletide_balancer::AttemptNo;
+use shaletide_balancer::{AttemptNo, LoadReport};
 use shaletide_net::{driven, strip_hop_by_hop, Errand, Heard, Leg, Run, Stream};
 use shaletide_routing::{Answers, Errors, LastAnswer, Verdict};
 use std::cell::RefCell;
@@ -71,10 +71,11 @@
                 Ok(Answered { got, keep, behind }) => {
                     let header = |name: &str| got.headers.get(name).and_then(|value| value.to_str().ok());
                     let verdict = self.answers.judge(got.status.as_u16(), header);
+                    let report = self.answers.report.as_deref().and_then(header).map(LoadReport::read);
                     if verdict == Verdict::Served || self.answers.errors == Errors::AsTheyAre {
                         self.got.borrow_mut().push((leg.attempt, verdict, got));
                     }
-                    Heard::Answered { verdict, keep, behind }
+                    Heard::Answered { verdict, keep, behind, report }
                 }
                 Err(Broken::Spoilt) => Heard::Spoilt,
                 Err(Broken::Ended) => Heard::Ended,
--- a/crates/membership/benches/news.rs
+++ b/crates/membership/benches/news.rs
@@ -14,6 +14,7 @@
         kind: format!("k{}", n % 4),
         bay: (n % 100) as u64,
         cores: 4,
+        weight: 0,
         state: BackendState::Ready,
         booted: None,
     }
--- a/crates/membership/src/list.rs
+++ b/crates/membership/src/list.rs
@@ -10,6 +10,9 @@
 /// An entry with a longer name, zone or kind, in bytes, is a bad one.
 pub const MAX_NAME: usize = 1_024;
 
+/// A larger weight is none.
+const MAX_WEIGHT: f64 = 1e6;
+
 /// A list, or the changes to one. Entries are read one by one, so that a bad one spoils no other.
 #[derive(Clone, Debug, Default, Deserialize)]
 pub struct List {
@@ -45,6 +48,8 @@
     pub bay: u64,
     /// How many cores it has.
     pub cores: u32,
+    /// Its weight in thousandths; 0 where the list says none, or nothing that is one.
+    pub weight: u32,
     /// What it may be sent.
     pub state: BackendState,
     /// When it last started; `None` means long ago.
@@ -64,6 +69,8 @@
     /// Read leniently: an entry without it is as good.
     #[serde(default)]
     cores: Value,
+    #[serde(default)]
+    weight: Value,
     status: String,
     #[serde(default)]
     since_ms: f64,
@@ -83,11 +90,13 @@
             return Err(format!("a name of more than {MAX_NAME} bytes"));
         }
         let cores = e.cores.as_u64().and_then(|n| u32::try_from(n).ok()).unwrap_or(1).max(1);
+        let weight = e.weight.as_f64().filter(|w| (0.0..=MAX_WEIGHT).contains(w)).unwrap_or(0.0);
+        let weight = (weight * 1e3).round() as u32;
         let booted = (e.since_ms > 0.0).then_some(Time((e.since_ms * 1e3) as u64));
         let own = || bay(&e.name);
         let group = e.group.unwrap_or_else(own);
         let (name, zone, kind, bay) = (e.name, e.zone, e.kind, group);
-        Ok(Endpoint { name, address, zone, kind, bay, cores, state, booted })
+        Ok(Endpoint { name, address, zone, kind, bay, cores, weight, state, booted })
     }
 }
 
@@ -140,7 +149,7 @@
     #[test]
     fn an_entry_is_read_with_all_that_it_says() {
         let full = json!({"name": "b7", "address": "10.0.0.7:80", "zone": "a", "type": "big", "group": 9,
-            "cores": 4, "status": "DRAINING", "since_ms": 12.5, "more": []});
+            "cores": 4, "weight": 1.5, "status": "DRAINING", "since_ms": 12.5, "more": []});
         let bare = json!({"name": "b8", "address": "[::1]:80", "status": "SERVING"});
         let (entries, skipped) = list(vec![full, bare]).entries();
         assert_eq!(skipped, None);
@@ -151,6 +160,7 @@
             kind: "big".into(),
             bay: 9,
             cores: 4,
+            weight: 1_500,
             state: BackendState::Draining,
             booted: Some(Time(12_500)),
         };
@@ -162,6 +172,7 @@
             kind: plain.2,
             bay: bay("b8"),
             cores: 1,
+            weight: 0,
             state: BackendState::Ready,
             booted: None,
         };
--- a/crates/membership/src/pool.rs
+++ b/crates/membership/src/pool.rs
@@ -38,6 +38,7 @@
     kind: KindId,
     bay: u64,
     cores: u32,
+    weight: u32,
     state: BackendState,
 }
 
@@ -59,6 +60,7 @@
             kind,
             bay: e.bay,
             cores: e.cores.max(1),
+            weight: e.weight,
             state: e.state,
         }
     }
@@ -73,6 +75,7 @@
             realm,
             kind: self.kind,
             cores: self.cores,
+            weight: self.weight,
             state: self.state,
             booted: self.booted,
         }
--- a/crates/membership/tests/common/mod.rs
+++ b/crates/membership/tests/common/mod.rs
@@ -22,6 +22,7 @@
         kind: "k".into(),
         bay: 7,
         cores: 1,
+        weight: 0,
         state,
         booted: None,
     }
--- a/crates/net/src/errand.rs
+++ b/crates/net/src/errand.rs
@@ -1,7 +1,7 @@
 //! What a front brings: how its request is sent to a backend in its protocol, and what comes back.
 
 use crate::stream::Stream;
-use shaletide_base::AttemptNo;
+use shaletide_base::{AttemptNo, LoadReport};
 use shaletide_routing::Verdict;
 use std::future::Future;
 use std::net::SocketAddr;
@@ -26,7 +26,7 @@
 }
 
 /// What came of it.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq)]
 pub enum Heard {
     /// A whole answer.
     Answered {
@@ -36,6 +36,8 @@
         keep: bool,
         /// More came than the answer.
         behind: bool,
+        /// What the backend says of its own load.
+        report: Option<LoadReport>,
     },
     /// What came can never become an answer, or takes longer than it may.
     Spoilt,
--- a/crates/net/src/host.rs
+++ b/crates/net/src/host.rs
@@ -592,7 +592,10 @@
             let Some(line) = s.lines.all.get_mut(&conn) else { return };
             (line.busy, line.task) = (false, None);
             match heard {
-                Heard::Answered { verdict, keep, behind } => Event::Answered { conn, verdict, keep, behind },
+                Heard::Answered { verdict, keep, behind, report } => {
+                    s.events.extend(report.map(|report| Event::Reported { conn, report }));
+                    Event::Answered { conn, verdict, keep, behind }
+                }
                 Heard::Spoilt => {
                     s.counts.spoilt += 1;
                     Event::Spoilt { conn }
--- a/crates/routing/src/answers.rs
+++ b/crates/routing/src/answers.rs
@@ -77,6 +77,8 @@
     pub never_ran: Vec<Proof>,
     /// What the client gets of an error.
     pub errors: Errors,
+    /// The header in which a backend says how loaded it is, in lower case; none: it says nothing.
+    pub report: Option<String>,
 }
 
 impl Answers {
@@ -85,7 +87,7 @@
         let mut served = StatusSet::none();
         served.add(200, 599);
         [429, 500, 502, 503, 504].into_iter().for_each(|status| served.remove(status));
-        Answers { served, never_ran: Vec::new(), errors: Errors::AsTheyAre }
+        Answers { served, never_ran: Vec::new(), errors: Errors::AsTheyAre, report: None }
     }
 
     /// The platform's table: 200 is served, 503 and 504 with `X-Unprocessed: 1` never ran.
@@ -93,7 +95,8 @@
         let mut served = StatusSet::none();
         served.add(200, 200);
         let proof = |status| Proof { status, header: "x-unprocessed".into(), value: Some("1".into()) };
-        Answers { served, never_ran: vec![proof(503), proof(504)], errors: Errors::OwnWords }
+        let never_ran = vec![proof(503), proof(504)];
+        Answers { served, never_ran, errors: Errors::OwnWords, report: Some("x-backend-load".into()) }
     }
 
     /// What an answer of that status means; `header` gives the value of a header by its lower-case name. One
--- a/crates/routing/src/pools.rs
+++ b/crates/routing/src/pools.rs
@@ -52,6 +52,15 @@
         /// The attempt.
         attempt: AttemptNo,
     },
+    /// What a backend says of its own load.
+    Reported {
+        /// The pool that it belongs to.
+        pool: PoolId,
+        /// Which.
+        backend: BackendId,
+        /// What it says.
+        report: LoadReport,
+    },
     /// An attempt ended.
     AttemptEnded(AttemptEnd),
     /// The client left.
@@ -226,6 +235,9 @@
                     self.work.push_back((owed.pool, module::Event::StreamStarted { request, attempt }));
                 }
             }
+            Event::Reported { pool, backend, report } => {
+                self.work.push_back((pool, module::Event::Reported(backend, report)));
+            }
             Event::AttemptEnded(end) => self.ended(end),
             Event::ClientGone { request } => {
                 if let Some(owed) = self.requests.get(&request) {
--- a/crates/shaletide/src/setup.rs
+++ b/crates/shaletide/src/setup.rs
@@ -227,6 +227,7 @@
         kind: def.kind.clone(),
         bay: bay(&def.bay),
         cores: def.cores,
+        weight: 0,
         state: def.state,
         booted: None,
     }
