A property of bodies counts those without a byte as taking no room: it failed by chance

Cause: the property draws lengths from 0; a body of 10,001 bytes beside one of none is alone in the bound's eyes and comes in, and the test counted two. Change: those of length 0 are not counted.

--- a/crates/admission/tests/bodies.rs
+++ b/crates/admission/tests/bodies.rs
@@ -85,10 +85,14 @@
     fn the_bound_holds(steps in proptest::collection::vec((0u8..5, 0usize..12_000, 0u64..200), 1..200)) {
         let mut bodies = Bodies::new(MEASURES);
         let (mut now, mut known) = (0, Vec::<BodyId>::new());
+        let mut empty = Vec::<BodyId>::new();
         for (what, size, later) in steps {
             now += later;
             match what {
-                0 | 1 => known.push(bodies.begin(at(now), size)),
+                0 | 1 => {
+                    known.push(bodies.begin(at(now), size));
+                    empty.extend(known.last().filter(|_| size == 0));
+                }
                 2 if !known.is_empty() => bodies.over(at(now), known.swap_remove(size % known.len())),
                 3 if !known.is_empty() => bodies.taken(known[size % known.len()]),
                 _ => {
@@ -97,7 +101,8 @@
                     }
                 }
             }
-            let inside = known.iter().filter(|id| bodies.entry(**id) == Entry::In).count();
+            // One without a byte takes no room: whoever comes beside it is alone still.
+            let inside = known.iter().filter(|id| bodies.entry(**id) == Entry::In && !empty.contains(id)).count();
             prop_assert!(bodies.held() <= MEASURES.held || inside == 1);
         }
         known.into_iter().for_each(|id| bodies.over(at(now), id));
