--- a/crates/balancer/src/loads.rs
+++ b/crates/balancer/src/loads.rs
@@ -188,11 +188,10 @@
 
     /// The part that is let in of requests that are worth much, or little.
     pub fn admitted(&self, low: bool) -> f64 {
-        let admit = self.admit;
         if low {
-            ((admit - (1.0 - ADMIT_LOW)) / ADMIT_LOW).max(0.0)
+            ((self.admit - (1.0 - ADMIT_LOW)) / ADMIT_LOW).max(0.0)
         } else {
-            (admit / (1.0 - ADMIT_LOW)).min(1.0)
+            (self.admit / (1.0 - ADMIT_LOW)).min(1.0)
         }
     }
 
--- a/crates/balancer/src/rules.rs
+++ b/crates/balancer/src/rules.rs
@@ -244,6 +244,7 @@
             let absent = |p: &&mut Peer| !listed.contains(&p.entry.id);
             self.peers.values_mut().filter(absent).for_each(|p| p.entry.state = BackendState::Gone);
         }
+        let weighs = self.cfg.live_weights && self.many();
         for entry in list {
             let p = self.peers.entry(entry.id).or_default();
             if p.entry.booted != entry.booted {
@@ -251,7 +252,7 @@
                 *p = Peer { out: p.out, spent: std::mem::take(&mut p.spent), ..Peer::default() };
             }
             p.entry = entry;
-            if self.cfg.live_weights && f64::from(self.cfg.proxies) > HOLD {
+            if weighs {
                 self.loads.weighed(now, p);
             }
         }
@@ -307,6 +308,9 @@
             return Err(ConfigError { field: "classes", expected: "no fewer than before" });
         }
         self.classes.resize_with(cfg.classes.len(), ClassState::default);
+        if cfg.proxies != self.cfg.proxies {
+            self.loads = Loads::new(cfg.proxies); // the part was learned against the other count
+        }
         self.cfg = cfg;
         (self.solve_at, self.look_at) = (Time(0), Time(0));
         Ok(())
@@ -641,8 +645,8 @@
             let flow = k.flow.get().filter(|_| told).unwrap_or(flow);
             k.speed = k.latency.get().map_or(0.0, |t| 1.0 / t + flow);
         }
-        let size = |id: &KindId| self.loads.size(*id);
-        let speeds = self.kinds.iter().filter(|(_, k)| k.speed > 0.0).map(|(id, k)| k.speed / size(id));
+        let speeds =
+            self.kinds.iter().filter(|(_, k)| k.speed > 0.0).map(|(id, k)| k.speed / self.loads.size(*id));
         let (sum, count) = speeds.fold((0.0, 0.0), |n, s| (n.0 + s, n.1 + 1.0));
         // Kinds without data: as fast as the others, or as the list's sizes have it.
         let mean = if count > 0.0 { sum / count } else { 1.0 };
@@ -781,7 +785,7 @@
                 // Never overfill: a crowded backend slows for long, so a full one is drawn again.
                 let room = if r.value < LOW { (p.room / 2.0).ceil() } else { p.room };
                 if f64::from(p.out.saturating_sub(p.lost)) < room {
-                    open.push((b, p.entry.kind, p.slice + p.pull * 1e-9)); // the rest: a last resort
+                    open.push((b, p.entry.kind, p.slice + p.pull * 1e-6)); // the rest: a last resort
                 }
             }
         }
@@ -807,11 +811,10 @@
         if luck > self.loads.admitted(value < LOW) {
             return true;
         }
-        let proxies = f64::from(self.cfg.proxies);
         let ready: f64 = self.kinds.values().map(|k| k.cores).sum();
         let limit = if value < LOW { HOLD / 2.0 } else { HOLD * 2.0 };
         let held = self.crowd.per_s().unwrap_or(0.0) * self.loads.fleet();
-        proxies > HOLD && held > limit * ready
+        self.many() && held > limit * ready
     }
 
     /// Sends what is held, the densest worth first and the newest first inside it.
