--- /dev/null
+++ b/crates/emulate/src/play/attempts.rs
@@ -0,0 +1,212 @@
+//! Attempts on their way, at boxes and back.
+
+use super::world::*;
+use super::Who;
+use crate::rules::Broken;
+use crate::site::LOOK;
+use shaletide_balancer::AttemptEnd;
+use shaletide_base::*;
+use shaletide_routing::pools::Event;
+use shaletide_testkit::{Admitted, Demand, Step};
+
+impl World<'_> {
+    pub(super) fn dispatch(&mut self, proxy: usize, id: RequestId, no: AttemptNo, site: usize) {
+        let Some(open) = self.requests.get(&id) else { return self.watch.broke(Broken::Answer(id)) };
+        let sort = &self.day.sorts[self.clients[open.client].sort];
+        let ran = self.ran(open);
+        let cell = self.rows[site].cell;
+        self.watch.sent(self.now, id, sort.class.effect, &ran, cell);
+        if let Some(late) =
+            self.proxies[proxy].drains.get(&site).map(|at| self.now - *at).filter(|l| *l > GRACE)
+        {
+            self.watch.broke(Broken::Drain(BackendId(site as u32), late));
+        }
+        self.account.attempts += 1;
+        self.account.by_box[site] += 1;
+        let crosses = self.rows[site].zone != self.proxies[proxy].zone;
+        self.account.crossed += u64::from(crosses);
+        let way = if crosses { self.day.net.1 } else { self.day.net.0 };
+        let attempt = self.attempts.len();
+        let mut work_ms = sort.work_ms.draw(&mut self.dice);
+        let (life, sent) = (self.proxies[proxy].life, self.now);
+        self.tidy(proxy, site);
+        let idle = self.proxies[proxy].idle.get_mut(&site).and_then(Vec::pop);
+        let mut wait = way;
+        let mut refuses = false;
+        if idle.is_none() {
+            let common = &self.day.common;
+            refuses = self.sites[site].connections >= common.connections
+                || self.rows[site].state == BackendState::Gone;
+            wait = Micros(wait.0 + common.handshake.0 .0);
+            if !refuses {
+                work_ms += common.handshake.1;
+                self.sites[site].connections += 1;
+                self.account.handshakes += 1;
+            }
+        }
+        let (at_box, over, never_ran) = (false, false, false);
+        self.attempts.push(Attempt { id, no, proxy, life, site, sent, at_box, over, never_ran, work_ms });
+        self.out.insert((id, no), attempt);
+        if let Some(open) = self.requests.get_mut(&id) {
+            open.tries.push(attempt);
+        }
+        if refuses {
+            self.at(self.now + wait, Ev::Back { attempt, outcome: Outcome::ConnectFailed });
+        } else {
+            self.at(self.now + wait, Ev::AtBox { attempt });
+        }
+    }
+
+    /// Connections that rested too long are closed.
+    pub(super) fn tidy(&mut self, proxy: usize, site: usize) {
+        let oldest = self.now.0.saturating_sub(self.day.common.idle.times(IDLE_PART).0);
+        if let Some(all) = self.proxies[proxy].idle.get_mut(&site) {
+            let before = all.len();
+            all.retain(|since| since.0 >= oldest);
+            self.sites[site].connections -= (before - all.len()) as u32;
+        }
+    }
+
+    pub(super) fn at_box(&mut self, attempt: usize) {
+        let a = &mut self.attempts[attempt];
+        if a.over {
+            return;
+        }
+        a.at_box = true;
+        let (site, work_ms) = (a.site, a.work_ms);
+        let id = BackendId(site as u32);
+        if self.rows[site].state == BackendState::Gone {
+            return self.at(self.now, Ev::Back { attempt, outcome: Outcome::Reset });
+        }
+        let s = &self.sites[site];
+        let window = Micros(1_000_000);
+        if s.power.warmth(s.booted, self.now) < 1.0 {
+            let bears = 3.0 * s.power.capacity(s.booted, self.now) * window.secs();
+            self.watch.came(self.now, id, work_ms / 1e3, bears, window);
+        }
+        if s.silent {
+            return;
+        }
+        let sort = &self.day.sorts[self.clients_sort(attempt)];
+        let io = Micros::from_secs(sort.io_ms.draw(&mut self.dice) / 1e3);
+        self.wake(site);
+        let s = &mut self.sites[site];
+        match s.arrive(self.now, attempt as u64, Demand { work_ms, io }) {
+            Admitted::Full => {
+                let way = self.way(attempt);
+                self.at(self.now + way, Ev::Back { attempt, outcome: Outcome::Full });
+            }
+            Admitted::Began | Admitted::Queued => self.set_wake(site),
+        }
+    }
+
+    pub(super) fn clients_sort(&self, attempt: usize) -> usize {
+        let open = self.requests.get(&self.attempts[attempt].id);
+        open.map_or(0, |o| self.clients[o.client].sort)
+    }
+
+    pub(super) fn way(&self, attempt: usize) -> Micros {
+        let a = &self.attempts[attempt];
+        if self.rows[a.site].zone == self.proxies[a.proxy].zone {
+            self.day.net.0
+        } else {
+            self.day.net.1
+        }
+    }
+
+    pub(super) fn set_wake(&mut self, site: usize) {
+        let Some(at) = self.sites[site].station.next(self.now) else { return };
+        let at = at.max(self.now);
+        if self.wakes[site].is_none_or(|set| at < set) {
+            self.wakes[site] = Some(at);
+            self.at(at, Ev::Wake { site });
+        }
+    }
+
+    pub(super) fn wake(&mut self, site: usize) {
+        let steps = self.sites[site].advance(self.now);
+        for step in steps {
+            let Step::Served(done) = step else { continue };
+            let attempt = done.id as usize;
+            let took = self.now - self.attempts[attempt].sent;
+            self.sites[site].told_served(took);
+            let way = self.way(attempt);
+            self.at(self.now + way, Ev::Back { attempt, outcome: Outcome::Ok });
+        }
+    }
+
+    pub(super) fn look(&mut self) {
+        for site in 0..self.sites.len() {
+            self.wake(site);
+            self.sites[site].look(self.now);
+            self.set_wake(site);
+        }
+        if self.now.0 % 1_000_000 < LOOK.0 {
+            for proxy in 0..self.proxies.len() {
+                let sites: Vec<usize> = self.proxies[proxy].idle.keys().copied().collect();
+                sites.into_iter().for_each(|site| self.tidy(proxy, site));
+            }
+        }
+        if self.now < self.end + Micros(4_000_000) {
+            self.at(self.now + LOOK, Ev::Look);
+        }
+    }
+
+    /// Nothing more comes of it, and its connection is closed.
+    pub(super) fn let_go(&mut self, attempt: usize) {
+        let a = &mut self.attempts[attempt];
+        if std::mem::replace(&mut a.over, true) {
+            return;
+        }
+        let (site, at_box) = (a.site, a.at_box);
+        self.out.remove(&(a.id, a.no));
+        self.sites[site].connections = self.sites[site].connections.saturating_sub(1);
+        if at_box {
+            self.wake(site);
+            self.sites[site].station.cancel(self.now, attempt as u64);
+            self.set_wake(site);
+        }
+    }
+
+    pub(super) fn back(&mut self, attempt: usize, outcome: Outcome) {
+        let a = &mut self.attempts[attempt];
+        if a.over {
+            return;
+        }
+        a.never_ran = outcome.never_ran();
+        let (proxy, site, id, life) = (a.proxy, a.site, a.id, a.life);
+        a.over = true;
+        self.out.remove(&(id, a.no));
+        if outcome != Outcome::ConnectFailed {
+            if outcome == Outcome::Reset || self.proxies[proxy].life != life {
+                self.sites[site].connections = self.sites[site].connections.saturating_sub(1);
+            } else {
+                self.proxies[proxy].idle.entry(site).or_default().push(self.now);
+            }
+        }
+        if self.proxies[proxy].life != life {
+            return;
+        }
+        let report = if self.who == Who::Program { self.sites[site].report(self.now) } else { None };
+        if let Some(report) = report.filter(|_| matches!(outcome, Outcome::Ok | Outcome::Full)) {
+            self.todo
+                .push_back((proxy, Event::Reported { pool: POOL, backend: BackendId(site as u32), report }));
+        }
+        let over = outcome == Outcome::Ok || !self.requests.contains_key(&id);
+        self.ended(attempt, outcome, over);
+        match (self.who, outcome) {
+            (_, Outcome::Ok) => self.served(id),
+            (Who::Random, Outcome::Full | Outcome::ConnectFailed) => self.refused(id, Micros(0)),
+            _ => {}
+        }
+    }
+
+    pub(super) fn ended(&mut self, attempt: usize, outcome: Outcome, settled: bool) {
+        let a = &self.attempts[attempt];
+        if self.who == Who::Random {
+            return;
+        }
+        let end = AttemptEnd { request: a.id, attempt: a.no, outcome, latency: self.now - a.sent, settled };
+        self.todo.push_back((a.proxy, Event::AttemptEnded(end)));
+    }
+}
--- /dev/null
+++ b/crates/emulate/src/play/clients.rs
@@ -0,0 +1,169 @@
+//! Clients, the front that deals them out, and what they get.
+
+use super::world::*;
+use super::Who;
+use crate::account::End;
+use crate::rules::Broken;
+use shaletide_balancer::Arrival;
+use shaletide_base::*;
+use shaletide_routing::pools::Event;
+use shaletide_testkit::Dice;
+use std::rc::Rc;
+
+impl World<'_> {
+    pub(super) fn comes(&mut self) {
+        if self.now >= self.end {
+            return;
+        }
+        let rate = self.day.load * self.day.capacity() * self.burst;
+        let gap = -self.dice.part().ln() / rate;
+        self.at(self.now + Micros::from_secs(gap), Ev::Comes);
+        let pick = |dice: &mut Dice, shares: &mut dyn Iterator<Item = f64>| {
+            let shares: Vec<f64> = shares.collect();
+            let mut left = dice.part() * shares.iter().sum::<f64>();
+            let hit = shares.iter().position(|s| {
+                left -= s;
+                left < 0.0
+            });
+            hit.unwrap_or(shares.len() - 1)
+        };
+        let sort = pick(&mut self.dice, &mut self.day.sorts.iter().map(|s| s.share));
+        let tenant = pick(&mut self.dice, &mut self.day.tenants.iter().map(|t| t.1));
+        let proxy = pick(&mut self.dice, &mut self.parts.iter().copied());
+        let client = self.clients.len();
+        self.clients.push(Client { came: self.now, sort, tenant, tries: 0, proxy, served: false });
+        self.account.asked[sort] += 1;
+        self.account.worth.0 += self.day.sorts[sort].class.worth;
+        let second = self.account.second(self.now - START);
+        self.account.seconds[second].0 += 1;
+        self.asks(client, false);
+    }
+
+    pub(super) fn asks(&mut self, client: usize, repeat: bool) {
+        let c = &mut self.clients[client];
+        let sort = &self.day.sorts[c.sort];
+        let left = sort.deadline.0.saturating_sub((self.now - c.came).0);
+        if left < 10_000 {
+            return;
+        }
+        c.tries += 1;
+        let mut proxy = c.proxy;
+        // The front finds one that lives.
+        for step in 1..=self.proxies.len() {
+            if self.proxies[proxy].pools.is_some() {
+                break;
+            }
+            proxy = (c.proxy + step * 7) % self.proxies.len();
+        }
+        if self.proxies[proxy].pools.is_none() {
+            return;
+        }
+        self.last += 1;
+        let id = RequestId(self.last);
+        let (class, tenant) = (ClassId(c.sort), TenantId(c.tenant));
+        let deadline = self.now + Micros(left);
+        self.requests.insert(id, Open { proxy, client, came: self.now, tries: Vec::new() });
+        self.proxies[proxy].open.insert(id);
+        self.at(deadline, Ev::Deadline { id });
+        if self.who == Who::Random {
+            return self.draws(proxy, id);
+        }
+        let arrival = Arrival {
+            request: id,
+            class,
+            tenant: Some(tenant),
+            time_left: Micros(left),
+            work_hint: None,
+            repeat,
+            elsewhere: false,
+        };
+        self.todo.push_back((proxy, Event::Request { arrival, pools: Rc::new([POOL]) }));
+    }
+
+    /// Random choice.
+    pub(super) fn draws(&mut self, proxy: usize, id: RequestId) {
+        let ready = &self.proxies[proxy].ready;
+        let at = (self.dice.part() * ready.len() as f64) as usize;
+        match ready.iter().nth(at).copied() {
+            Some(site) => self.dispatch(proxy, id, AttemptNo(0), site),
+            None => self.refused(id, Micros(0)),
+        }
+    }
+
+    /// A try is over.
+    pub(super) fn closed(&mut self, client: usize, came: Time, end: End, advice: Micros) {
+        self.account.ends[end as usize] += 1;
+        let refused = matches!(end, End::RefusedAtOnce | End::RefusedHeld | End::RefusedSent);
+        if refused {
+            let second = self.account.second(came - START);
+            self.account.refused[second] += 1;
+        }
+        let c = &mut self.clients[client];
+        if (refused || end == End::Died) && c.tries <= self.day.retries {
+            let wait = Micros((self.dice.part() * 70_000.0) as u64 + 10_000).max(advice.min(MOST_ADVICE));
+            self.at(self.now + wait, Ev::Again { client });
+        }
+    }
+
+    pub(super) fn served(&mut self, id: RequestId) {
+        let Some(open) = self.forget(id) else { return };
+        let c = &mut self.clients[open.client];
+        let sort = &self.day.sorts[c.sort];
+        let took = self.now - c.came;
+        let in_time = took <= sort.class.aim;
+        let worth = sort.class.worth * if in_time { 1.0 } else { sort.class.late_worth };
+        if !std::mem::replace(&mut c.served, true) {
+            self.account.worth.1 += worth;
+            if in_time {
+                self.account.served[c.sort] += 1;
+                let second = self.account.second(c.came - START);
+                self.account.seconds[second].1 += 1;
+            }
+        }
+        // The bounds of the histogram are wider than any deadline.
+        let _ = self.account.latency.record(took.0.max(1));
+        self.closed(open.client, open.came, if in_time { End::InTime } else { End::Late }, Micros(0));
+    }
+
+    pub(super) fn forget(&mut self, id: RequestId) -> Option<Open> {
+        let open = self.requests.remove(&id)?;
+        self.proxies[open.proxy].open.remove(&id);
+        Some(open)
+    }
+
+    /// The attempts of it that may have run or may run yet.
+    pub(super) fn ran(&self, open: &Open) -> Vec<(CellId, Time)> {
+        let all = open.tries.iter().map(|t| &self.attempts[*t]);
+        all.filter(|a| !a.never_ran).map(|a| (self.rows[a.site].cell, a.sent)).collect()
+    }
+
+    pub(super) fn effect(&self, open: &Open) -> Effect {
+        self.day.sorts[self.clients[open.client].sort].class.effect
+    }
+
+    pub(super) fn refused(&mut self, id: RequestId, advice: Micros) {
+        let Some(open) = self.forget(id) else { return self.watch.broke(Broken::Answer(id)) };
+        let (ran, effect) = (self.ran(&open), self.effect(&open));
+        self.watch.refused(id, effect, &ran);
+        let end = match () {
+            () if !open.tries.is_empty() => End::RefusedSent,
+            () if self.now - open.came > Micros(1_000) => End::RefusedHeld,
+            () => End::RefusedAtOnce,
+        };
+        self.closed(open.client, open.came, end, advice);
+    }
+
+    pub(super) fn deadline(&mut self, id: RequestId) {
+        let Some(open) = self.forget(id) else { return };
+        let proxy = open.proxy;
+        let out: Vec<usize> = open.tries.iter().copied().filter(|t| !self.attempts[*t].over).collect();
+        if out.is_empty() {
+            self.todo.push_back((proxy, Event::ClientGone { request: id }));
+        }
+        for attempt in out {
+            self.let_go(attempt);
+            self.ended(attempt, Outcome::TimedOut, true);
+        }
+        self.closed(open.client, open.came, End::Failed, Micros(0));
+    }
+}
