--- a/crates/emulate/src/account.rs
+++ b/crates/emulate/src/account.rs
@@ -20,10 +20,12 @@
     Failed,
     /// Its proxy died.
     Died,
+    /// The front dealt it to a proxy that was dead already.
+    Unreached,
 }
 
 /// All ends, in their order.
-pub const ENDS: [(End, &str); 7] = [
+pub const ENDS: [(End, &str); 8] = [
     (End::InTime, "in time"),
     (End::Late, "late"),
     (End::RefusedAtOnce, "refused at once"),
@@ -31,6 +33,7 @@
     (End::RefusedSent, "refused sent"),
     (End::Failed, "failed"),
     (End::Died, "died"),
+    (End::Unreached, "unreached"),
 ];
 
 /// The account of a run.
@@ -43,11 +46,13 @@
     /// Worth asked for, and served; late answers count for their part.
     pub worth: (f64, f64),
     /// Ends of all tries.
-    pub ends: [u64; 7],
+    pub ends: [u64; 8],
     /// First tries and those served, by second.
     pub seconds: Vec<(u64, u64)>,
-    /// Tries refused, by second.
-    pub refused: Vec<u64>,
+    /// Tries refused at once, after they were held, and after attempts that never ran, by second.
+    pub refused: Vec<[u64; 3]>,
+    /// Boxes that are slow from crowding as a second begins, and requests that a box holds in the mean.
+    pub boxes: Vec<(u32, f64)>,
     /// Time to the answer of what was served, µs.
     pub latency: Histogram<u64>,
     /// Attempts, connections opened, attempts that crossed zones.
@@ -68,9 +73,10 @@
             asked: vec![0; classes],
             served: vec![0; classes],
             worth: (0.0, 0.0),
-            ends: [0; 7],
+            ends: [0; 8],
             seconds: Vec::new(),
             refused: Vec::new(),
+            boxes: Vec::new(),
             // From 1 µs to 100 s with two figures: the bounds are constants and sound.
             latency: Histogram::new_with_bounds(1, 100_000_000, 2).expect("sound bounds"),
             attempts: 0,
@@ -85,7 +91,7 @@
         let second = (at.0 / 1_000_000) as usize;
         if self.seconds.len() <= second {
             self.seconds.resize(second + 1, (0, 0));
-            self.refused.resize(second + 1, 0);
+            self.refused.resize(second + 1, [0; 3]);
         }
         second
     }
--- a/crates/emulate/src/day.rs
+++ b/crates/emulate/src/day.rs
@@ -79,6 +79,19 @@
     Slow(f64),
     /// This part of the boxes takes requests and never answers.
     Silent(f64),
+    /// One zone's proxies and boxes are cut off from all others, both ways. No connection comes up across it; what
+    /// is sent on one that was there arrives after the cut, and answers on their way are lost.
+    Cut,
+    /// All boxes of one zone die, and return cold at the end.
+    ZoneDies,
+    /// No proxy hears anything of the list, weights included.
+    ListsStop,
+    /// News of the list, weights included, takes so many seconds more.
+    ListsLate(f64),
+    /// This part of the answers is lost.
+    Lost(f64),
+    /// This part of the connections breaks under its request.
+    Reset(f64),
 }
 
 /// A day.
@@ -117,11 +130,14 @@
     pub list_lag: Micros,
     /// One way between proxy and box, and more between zones.
     pub net: (Micros, Micros),
+    /// The front notices that a proxy died after this time at least and at most; until then clients that it deals
+    /// there find nobody.
+    pub front_notices: (Micros, Micros),
     /// Tenants' quotas, as parts of what all boxes can do; what they ask for as parts of the traffic.
     pub tenants: Vec<(f64, f64)>,
     /// A client that is refused comes again so often.
     pub retries: u32,
-    /// What goes wrong, from when to when.
+    /// What goes wrong, from when to when. Of two of one sort at once the last to begin counts.
     pub troubles: Vec<(Micros, Micros, Trouble)>,
 }
 
@@ -173,6 +189,7 @@
             reports: Some(Reports { period: ms(1_000), lag: ms(300), noise: 0.04, liars: 0.0, silent: 0.0 }),
             list_lag: ms(400),
             net: (ms(1), ms(4)),
+            front_notices: (ms(1_000), ms(3_000)),
             tenants: vec![(0.50, 0.62), (0.21, 0.26), (0.10, 0.12)],
             retries: 1,
             troubles: Vec::new(),
@@ -187,7 +204,8 @@
     }
 
     /// A day by its name: `calm` has a burst, `herd` loses seven in ten proxies, `join` gets six in ten boxes anew,
-    /// `split` has a fifth of the boxes silent, `slow` has all of them slow.
+    /// `split` cuts a zone off while lists come late and links lose, `slow` has all boxes slow, `silent` a fifth of
+    /// them silent, and on `zone` those of one zone die.
     pub fn named(name: &str, proxies: u32, boxes: u32, seed: u64) -> Option<Day> {
         let calm = |load| Day::calm(proxies, boxes, load, seed);
         Some(match name {
@@ -196,14 +214,20 @@
                 calm(0.7).with("herd", 8, 9, Trouble::Herd(0.7)).with("herd", 7, 13, Trouble::Replace(0.3))
             }
             "join" => calm(0.6).with("join", 6, 13, Trouble::Replace(0.6)),
-            "split" => calm(0.7).with("split", 6, 12, Trouble::Silent(0.2)),
+            "split" => calm(0.7)
+                .with("split", 6, 12, Trouble::Cut)
+                .with("split", 5, 14, Trouble::ListsLate(3.0))
+                .with("split", 4, 16, Trouble::Lost(0.02))
+                .with("split", 4, 16, Trouble::Reset(0.01)),
             "slow" => calm(0.55).with("slow", 7, 11, Trouble::Slow(2.0)),
+            "silent" => calm(0.7).with("silent", 6, 12, Trouble::Silent(0.2)),
+            "zone" => calm(0.6).with("zone", 6, 11, Trouble::ZoneDies),
             _ => return None,
         })
     }
 
     /// The names that [`Day::named`] knows.
-    pub const NAMES: [&'static str; 5] = ["calm", "herd", "join", "split", "slow"];
+    pub const NAMES: [&'static str; 7] = ["calm", "herd", "join", "split", "slow", "silent", "zone"];
 
     /// What the module of one proxy is told; `proxies` is 1 for one that sees all.
     pub(crate) fn config(&self, proxies: u32, position: u32, zone: ZoneId, live: bool) -> Config {
--- a/crates/emulate/src/main.rs
+++ b/crates/emulate/src/main.rs
@@ -11,7 +11,7 @@
 #[derive(Debug, Parser)]
 #[command(name = "shaletide-emulate", version)]
 struct Cli {
-    /// The day: calm, herd, join, split or slow; or all.
+    /// The day: calm, herd, join, split, slow, silent or zone; or all.
     #[arg(long, default_value = "calm")]
     day: String,
     /// Proxies.
@@ -26,7 +26,7 @@
     /// How long the day lasts.
     #[arg(long, default_value_t = 20, value_parser = clap::value_parser!(u64).range(1..=3600))]
     seconds: u64,
-    /// Show what was served second by second.
+    /// Show second by second what was served, what was refused and why, and how the boxes are.
     #[arg(long)]
     by_second: bool,
 }
@@ -71,6 +71,14 @@
             if cli.by_second {
                 let parts: Vec<String> = a.by_second().iter().map(|p| format!("{:.0}", p * 100.0)).collect();
                 println!("    served by second, %: {}", parts.join(" "));
+                for (at, why) in ["at once", "held", "sent"].iter().enumerate() {
+                    let all: Vec<String> = a.refused.iter().map(|r| r[at].to_string()).collect();
+                    println!("    refused {why}, by second: {}", all.join(" "));
+                }
+                let slow: Vec<String> = a.boxes.iter().map(|b| b.0.to_string()).collect();
+                println!("    boxes slow from crowding as each second ends: {}", slow.join(" "));
+                let held: Vec<String> = a.boxes.iter().map(|b| format!("{:.1}", b.1)).collect();
+                println!("    requests that a box holds then: {}", held.join(" "));
             }
             // Random choice keeps no rule but by luck.
             if who != Who::Random && played.watch.count > 0 {
--- a/crates/emulate/src/play.rs
+++ b/crates/emulate/src/play.rs
@@ -94,6 +94,7 @@
             todo: VecDeque::new(),
             dice: Dice::of(day.seed, "day"),
             burst: 1.0,
+            faults: Faults::new(day.seed),
             account: Account::new(day.sorts.len()),
             watch: Watch::default(),
             last: 0,
@@ -107,11 +108,13 @@
                 pools: None,
                 life: 0,
                 zone,
+                noticed: START,
                 told: 0,
+                told_as_of: START,
                 idle: BTreeMap::new(),
                 open: BTreeSet::new(),
                 drains: BTreeMap::new(),
-                ready: BTreeSet::new(),
+                ready: BTreeMap::new(),
             });
             world.revive(position as usize);
         }
@@ -146,7 +149,7 @@
             ..Backend::default()
         });
         self.sizes.push(self.day.kinds[kind].size);
-        self.log.push(Line { at: self.now, site: number as usize, state: BackendState::Ready });
+        self.logs(number as usize, BackendState::Ready);
         self.account.by_box.push(0);
         number as usize
     }
@@ -167,11 +170,13 @@
         // The configuration is the emulator's own.
         pools.configure(POOL, config, seed).expect("a sound configuration");
         let p = &mut self.proxies[proxy];
-        (p.pools, p.told) = (Some(pools), 0);
+        (p.pools, p.told, p.told_as_of) = (Some(pools), 0, START);
         p.idle.clear();
         p.drains.clear();
         p.ready.clear();
-        self.tell_list(proxy, ListUpdate::Full);
+        // Where lists come late or not at all it starts with the last that came.
+        let as_of = self.faults.stopped.unwrap_or(self.now);
+        self.tell_list(proxy, ListUpdate::Full, as_of);
         let period = self.period();
         let first = Micros((self.dice.part() * period.0 as f64) as u64);
         self.at(self.now + first, Ev::List { proxy });
@@ -199,23 +204,28 @@
             Ev::Deadline { id } => self.deadline(id),
             Ev::List { proxy } => {
                 if self.now < self.end + Micros(2_000_000) {
-                    if self.proxies[proxy].pools.is_some() {
-                        self.tell_list(proxy, ListUpdate::Changes);
-                    }
+                    self.sends_list(proxy);
                     self.at(self.now + self.period(), Ev::List { proxy });
                 }
             }
+            Ev::Hears { proxy, life, as_of } => self.hears(proxy, life, as_of),
+            Ev::Missed { site } => {
+                if self.sites[site].dead {
+                    self.rows[site].state = BackendState::Gone;
+                    self.logs(site, BackendState::Gone);
+                }
+            }
             Ev::Begins { trouble } => self.begins(trouble),
             Ev::Ends { trouble } => self.ends(trouble),
             Ev::Drains { site } => {
                 self.rows[site].state = BackendState::Draining;
-                self.log.push(Line { at: self.now, site, state: BackendState::Draining });
+                self.logs(site, BackendState::Draining);
                 self.add_box(Some(self.now));
                 self.at(self.now + DRAINS, Ev::Goes { site });
             }
             Ev::Goes { site } => {
                 self.rows[site].state = BackendState::Gone;
-                self.log.push(Line { at: self.now, site, state: BackendState::Gone });
+                self.logs(site, BackendState::Gone);
             }
             Ev::Revives { proxy } => self.revive(proxy),
         }
--- a/crates/emulate/src/play/attempts.rs
+++ b/crates/emulate/src/play/attempts.rs
@@ -35,9 +35,12 @@
         let mut refuses = false;
         if idle.is_none() {
             let common = &self.day.common;
-            refuses = self.sites[site].connections >= common.connections
+            let cut = self.cut_between(proxy, site);
+            refuses = cut
+                || self.sites[site].dead
+                || self.sites[site].connections >= common.connections
                 || self.rows[site].state == BackendState::Gone;
-            wait = Micros(wait.0 + common.handshake.0 .0);
+            wait = if cut { CONNECT } else { Micros(wait.0 + common.handshake.0 .0) };
             if !refuses {
                 work_ms += common.handshake.1;
                 self.sites[site].connections += 1;
@@ -45,7 +48,20 @@
             }
         }
         let (at_box, over, never_ran) = (false, false, false);
-        self.attempts.push(Attempt { id, no, proxy, life, site, sent, at_box, over, never_ran, work_ms });
+        let connected = (!refuses).then_some(self.sites[site].life);
+        self.attempts.push(Attempt {
+            id,
+            no,
+            proxy,
+            life,
+            site,
+            connected,
+            sent,
+            at_box,
+            over,
+            never_ran,
+            work_ms,
+        });
         self.out.insert((id, no), attempt);
         if let Some(open) = self.requests.get_mut(&id) {
             open.tries.push(attempt);
@@ -54,6 +70,10 @@
             self.at(self.now + wait, Ev::Back { attempt, outcome: Outcome::ConnectFailed });
         } else {
             self.at(self.now + wait, Ev::AtBox { attempt });
+            if self.faults.reset > 0.0 && self.faults.dice.chance(self.faults.reset) {
+                let breaks = Micros(wait.0 + (self.faults.dice.part() * BREAKS) as u64);
+                self.at(self.now + breaks, Ev::Back { attempt, outcome: Outcome::Reset });
+            }
         }
     }
 
@@ -72,10 +92,14 @@
         if a.over {
             return;
         }
-        a.at_box = true;
-        let (site, work_ms) = (a.site, a.work_ms);
+        let (proxy, site, work_ms) = (a.proxy, a.site, a.work_ms);
+        if self.cut_between(proxy, site) {
+            return self.faults.stalled.push(attempt);
+        }
+        let lives = self.attempts[attempt].connected == Some(self.sites[site].life);
+        self.attempts[attempt].at_box = lives;
         let id = BackendId(site as u32);
-        if self.rows[site].state == BackendState::Gone {
+        if !lives || self.rows[site].state == BackendState::Gone {
             return self.at(self.now, Ev::Back { attempt, outcome: Outcome::Reset });
         }
         let s = &self.sites[site];
@@ -142,6 +166,9 @@
             self.set_wake(site);
         }
         if self.now.0 % 1_000_000 < LOOK.0 {
+            let slow = self.sites.iter().filter(|s| s.crowded()).count() as u32;
+            let held = self.sites.iter().map(|s| s.held()).sum::<f64>() / self.sites.len() as f64;
+            self.account.boxes.push((slow, held));
             for proxy in 0..self.proxies.len() {
                 let sites: Vec<usize> = self.proxies[proxy].idle.keys().copied().collect();
                 sites.into_iter().for_each(|site| self.tidy(proxy, site));
@@ -158,29 +185,52 @@
         if std::mem::replace(&mut a.over, true) {
             return;
         }
-        let (site, at_box) = (a.site, a.at_box);
+        let (proxy, site, at_box) = (a.proxy, a.site, a.at_box);
         self.out.remove(&(a.id, a.no));
-        self.sites[site].connections = self.sites[site].connections.saturating_sub(1);
-        if at_box {
+        self.hangs_up(attempt);
+        // A box beyond a cut does not hear of it and serves it to the end.
+        if at_box && !self.cut_between(proxy, site) {
             self.wake(site);
             self.sites[site].station.cancel(self.now, attempt as u64);
             self.set_wake(site);
         }
     }
 
+    /// Its connection, if it has one, is no more.
+    fn hangs_up(&mut self, attempt: usize) {
+        let a = &self.attempts[attempt];
+        let site = &mut self.sites[a.site];
+        if a.connected == Some(site.life) {
+            site.connections = site.connections.saturating_sub(1);
+        }
+    }
+
+    /// What a box or a link has to say does not arrive.
+    fn is_lost(&mut self, proxy: usize, site: usize, outcome: Outcome) -> bool {
+        let lost = self.faults.lost;
+        self.cut_between(proxy, site)
+            || lost > 0.0 && outcome != Outcome::Reset && self.faults.dice.chance(lost)
+    }
+
     pub(super) fn back(&mut self, attempt: usize, outcome: Outcome) {
         let a = &mut self.attempts[attempt];
         if a.over {
             return;
         }
+        let (proxy, site) = (a.proxy, a.site);
+        if outcome != Outcome::ConnectFailed && self.is_lost(proxy, site, outcome) {
+            return;
+        }
+        let a = &mut self.attempts[attempt];
         a.never_ran = outcome.never_ran();
         let (proxy, site, id, life) = (a.proxy, a.site, a.id, a.life);
         a.over = true;
         self.out.remove(&(id, a.no));
         if outcome != Outcome::ConnectFailed {
+            let lives = self.attempts[attempt].connected == Some(self.sites[site].life);
             if outcome == Outcome::Reset || self.proxies[proxy].life != life {
-                self.sites[site].connections = self.sites[site].connections.saturating_sub(1);
-            } else {
+                self.hangs_up(attempt);
+            } else if lives {
                 self.proxies[proxy].idle.entry(site).or_default().push(self.now);
             }
         }
--- a/crates/emulate/src/play/clients.rs
+++ b/crates/emulate/src/play/clients.rs
@@ -10,6 +10,16 @@
 use shaletide_testkit::Dice;
 use std::rc::Rc;
 
+/// One of them, by their shares.
+fn pick(dice: &mut Dice, shares: &[f64]) -> usize {
+    let mut left = dice.part() * shares.iter().sum::<f64>();
+    let hit = shares.iter().position(|s| {
+        left -= s;
+        left < 0.0
+    });
+    hit.unwrap_or(shares.len() - 1)
+}
+
 impl World<'_> {
     pub(super) fn comes(&mut self) {
         if self.now >= self.end {
@@ -18,18 +28,9 @@
         let rate = self.day.load * self.day.capacity() * self.burst;
         let gap = -self.dice.part().ln() / rate;
         self.at(self.now + Micros::from_secs(gap), Ev::Comes);
-        let pick = |dice: &mut Dice, shares: &mut dyn Iterator<Item = f64>| {
-            let shares: Vec<f64> = shares.collect();
-            let mut left = dice.part() * shares.iter().sum::<f64>();
-            let hit = shares.iter().position(|s| {
-                left -= s;
-                left < 0.0
-            });
-            hit.unwrap_or(shares.len() - 1)
-        };
-        let sort = pick(&mut self.dice, &mut self.day.sorts.iter().map(|s| s.share));
-        let tenant = pick(&mut self.dice, &mut self.day.tenants.iter().map(|t| t.1));
-        let proxy = pick(&mut self.dice, &mut self.parts.iter().copied());
+        let sort = pick(&mut self.dice, &self.day.sorts.iter().map(|s| s.share).collect::<Vec<_>>());
+        let tenant = pick(&mut self.dice, &self.day.tenants.iter().map(|t| t.1).collect::<Vec<_>>());
+        let proxy = pick(&mut self.dice, &self.parts);
         let client = self.clients.len();
         self.clients.push(Client { came: self.now, sort, tenant, tries: 0, proxy, served: false });
         self.account.asked[sort] += 1;
@@ -47,20 +48,13 @@
             return;
         }
         c.tries += 1;
-        let mut proxy = c.proxy;
-        // The front finds one that lives.
-        for step in 1..=self.proxies.len() {
-            if self.proxies[proxy].pools.is_some() {
-                break;
-            }
-            proxy = (c.proxy + step * 7) % self.proxies.len();
-        }
+        let (class, tenant) = (ClassId(c.sort), TenantId(c.tenant));
+        let Some(proxy) = self.deals(client) else { return };
         if self.proxies[proxy].pools.is_none() {
-            return;
+            return self.closed(client, self.now, End::Unreached, Micros(0));
         }
         self.last += 1;
         let id = RequestId(self.last);
-        let (class, tenant) = (ClassId(c.sort), TenantId(c.tenant));
         let deadline = self.now + Micros(left);
         self.requests.insert(id, Open { proxy, client, came: self.now, tries: Vec::new() });
         self.proxies[proxy].open.insert(id);
@@ -80,11 +74,18 @@
         self.todo.push_back((proxy, Event::Request { arrival, pools: Rc::new([POOL]) }));
     }
 
+    /// The front passes over those that it knows to be dead.
+    fn deals(&self, client: usize) -> Option<usize> {
+        let (first, all) = (self.clients[client].proxy, self.proxies.len());
+        let known_dead = |p: &Proxy| p.pools.is_none() && self.now >= p.noticed;
+        (0..=all).map(|step| (first + step * 7) % all).find(|p| !known_dead(&self.proxies[*p]))
+    }
+
     /// Random choice.
     pub(super) fn draws(&mut self, proxy: usize, id: RequestId) {
         let ready = &self.proxies[proxy].ready;
         let at = (self.dice.part() * ready.len() as f64) as usize;
-        match ready.iter().nth(at).copied() {
+        match ready.keys().nth(at).copied() {
             Some(site) => self.dispatch(proxy, id, AttemptNo(0), site),
             None => self.refused(id, Micros(0)),
         }
@@ -96,10 +97,15 @@
         let refused = matches!(end, End::RefusedAtOnce | End::RefusedHeld | End::RefusedSent);
         if refused {
             let second = self.account.second(came - START);
-            self.account.refused[second] += 1;
+            self.account.refused[second][end as usize - End::RefusedAtOnce as usize] += 1;
+        }
+        let lost = matches!(end, End::Died | End::Unreached);
+        if lost {
+            // Its next connection is dealt anew.
+            self.clients[client].proxy = pick(&mut self.faults.dice, &self.parts);
         }
         let c = &mut self.clients[client];
-        if (refused || end == End::Died) && c.tries <= self.day.retries {
+        if (refused || lost) && c.tries <= self.day.retries {
             let wait = Micros((self.dice.part() * 70_000.0) as u64 + 10_000).max(advice.min(MOST_ADVICE));
             self.at(self.now + wait, Ev::Again { client });
         }
--- a/crates/emulate/src/play/lists.rs
+++ b/crates/emulate/src/play/lists.rs
@@ -11,21 +11,50 @@
         self.day.reports.as_ref().map_or(Micros(1_000_000), |r| r.period)
     }
 
-    /// What is new in the list as one reads it now, and all weights.
-    pub(super) fn tell_list(&mut self, proxy: usize, update: ListUpdate) {
+    /// The list has that to say of a box from now on.
+    pub(super) fn logs(&mut self, site: usize, state: BackendState) {
+        self.log.push(Line { at: self.now, site, state, booted: self.sites[site].booted });
+    }
+
+    /// The list as it is goes out to a proxy.
+    pub(super) fn sends_list(&mut self, proxy: usize) {
+        if self.proxies[proxy].pools.is_none() || self.faults.stopped.is_some() {
+            return;
+        }
+        match self.faults.late {
+            Micros(0) if self.proxies[proxy].told_as_of < self.now => {
+                self.tell_list(proxy, ListUpdate::Changes, self.now)
+            }
+            late => {
+                let (life, as_of) = (self.proxies[proxy].life, self.now);
+                self.at(self.now + late, Ev::Hears { proxy, life, as_of });
+            }
+        }
+    }
+
+    /// A list that was late has come, if nothing newer came before it.
+    pub(super) fn hears(&mut self, proxy: usize, life: u32, as_of: Time) {
+        let p = &self.proxies[proxy];
+        if p.life == life && p.told_as_of < as_of && self.faults.stopped.is_none() {
+            self.tell_list(proxy, ListUpdate::Changes, as_of);
+        }
+    }
+
+    /// What was new in the list as one read it then, and all weights.
+    pub(super) fn tell_list(&mut self, proxy: usize, update: ListUpdate, as_of: Time) {
         let lag = if self.who == Who::One { Micros(0) } else { self.day.list_lag };
-        let seen = self
-            .log
-            .iter()
-            .skip(self.proxies[proxy].told)
-            .take_while(|l| l.at + lag <= self.now || l.at <= START);
-        let news: BTreeMap<usize, BackendState> = seen.map(|l| (l.site, l.state)).collect();
-        let told = self.log.partition_point(|l| l.at + lag <= self.now || l.at <= START);
+        let told = self.log.partition_point(|l| l.at + lag <= as_of || l.at <= START);
         let p = &mut self.proxies[proxy];
-        p.told = told;
-        for (site, state) in &news {
-            match state {
-                BackendState::Ready => drop(p.ready.insert(*site)),
+        // One that began while the list was ahead of what it hears now keeps to what it knows.
+        let seen = self.log.get(p.told..told).unwrap_or_default();
+        (p.told, p.told_as_of) = (p.told.max(told), as_of);
+        let news: BTreeMap<usize, &Line> = seen.iter().map(|l| (l.site, l)).collect();
+        for (site, line) in &news {
+            match line.state {
+                BackendState::Ready => {
+                    p.ready.insert(*site, line.booted);
+                    p.drains.remove(site);
+                }
                 _ => {
                     p.ready.remove(site);
                     p.drains.entry(*site).or_insert(self.now);
@@ -35,16 +64,20 @@
         let weighs = self.who == Who::Program && self.day.reports.is_some();
         let mut rows: BTreeMap<usize, Backend> = BTreeMap::new();
         if weighs {
-            let all = self.proxies[proxy].ready.iter();
-            rows.extend(all.map(|site| (*site, self.rows[*site].clone())));
+            let row = |(site, booted): (&usize, &Option<Time>)| {
+                let state = BackendState::Ready;
+                (*site, Backend { state, booted: *booted, ..self.rows[*site].clone() })
+            };
+            rows.extend(p.ready.iter().map(row));
         }
-        rows.extend(news.keys().map(|site| (*site, self.rows[*site].clone())));
-        for (site, row) in &mut rows {
-            if weighs {
-                row.weight = self.sites[*site].weight(self.now, self.sizes[*site]);
+        // As it was when this became known: it may have gone on since.
+        rows.extend(news.iter().map(|(site, line)| {
+            (*site, Backend { state: line.state, booted: line.booted, ..self.rows[*site].clone() })
+        }));
+        if weighs {
+            for (site, row) in &mut rows {
+                row.weight = self.sites[*site].weight(as_of, self.sizes[*site]);
             }
-            // As it was when this became known: it may have gone on since.
-            row.state = news.get(site).copied().unwrap_or(BackendState::Ready);
         }
         let backends: Vec<Backend> = rows.into_values().collect();
         if !backends.is_empty() {
--- a/crates/emulate/src/play/world.rs
+++ b/crates/emulate/src/play/world.rs
@@ -21,6 +21,14 @@
 pub(super) const GRACE: Micros = Micros(2_000_000);
 /// The last deadlines are over by then.
 pub(super) const AFTER: Micros = Micros(8_000_000);
+/// The list says that a box is gone so long after it died.
+pub(super) const MISSED: Micros = Micros(1_000_000);
+/// A connection that does not come up is given up after this.
+pub(super) const CONNECT: Micros = Micros(300_000);
+/// What a cut held up is sent again within this time after its end.
+pub(super) const SENT_AGAIN: f64 = 400_000.0;
+/// A connection that breaks does so within this time of its use.
+pub(super) const BREAKS: f64 = 120_000.0;
 /// A client takes longer advice for this.
 pub(super) const MOST_ADVICE: Micros = Micros(2_000_000);
 /// A connection is not used any more after this part of the time after which boxes close it.
@@ -28,19 +36,57 @@
 
 pub(super) enum Ev {
     Comes,
-    Again { client: usize },
-    Timer { proxy: usize, life: u32, token: TimerToken },
-    AtBox { attempt: usize },
-    Wake { site: usize },
+    Again {
+        client: usize,
+    },
+    Timer {
+        proxy: usize,
+        life: u32,
+        token: TimerToken,
+    },
+    AtBox {
+        attempt: usize,
+    },
+    Wake {
+        site: usize,
+    },
     Look,
-    Back { attempt: usize, outcome: Outcome },
-    Deadline { id: RequestId },
-    List { proxy: usize },
-    Begins { trouble: usize },
-    Ends { trouble: usize },
-    Drains { site: usize },
-    Goes { site: usize },
-    Revives { proxy: usize },
+    Back {
+        attempt: usize,
+        outcome: Outcome,
+    },
+    Deadline {
+        id: RequestId,
+    },
+    /// The list as it is goes out to it.
+    List {
+        proxy: usize,
+    },
+    /// It hears of the list as it was then.
+    Hears {
+        proxy: usize,
+        life: u32,
+        as_of: Time,
+    },
+    /// The list says that a dead box is gone, if it still is.
+    Missed {
+        site: usize,
+    },
+    Begins {
+        trouble: usize,
+    },
+    Ends {
+        trouble: usize,
+    },
+    Drains {
+        site: usize,
+    },
+    Goes {
+        site: usize,
+    },
+    Revives {
+        proxy: usize,
+    },
 }
 
 pub(super) struct Client {
@@ -65,6 +111,8 @@
     pub(super) proxy: usize,
     pub(super) life: u32,
     pub(super) site: usize,
+    /// Its connection belongs to that life of the box; none where none comes up.
+    pub(super) connected: Option<u32>,
     pub(super) sent: Time,
     pub(super) at_box: bool,
     pub(super) over: bool,
@@ -77,14 +125,43 @@
     pub(super) pools: Option<Pools>,
     pub(super) life: u32,
     pub(super) zone: ZoneId,
-    /// How much of the list's log it was told.
+    /// Dead: the front passes it over from then on.
+    pub(super) noticed: Time,
+    /// How much of the list's log it was told, and as of when.
     pub(super) told: usize,
+    pub(super) told_as_of: Time,
     pub(super) idle: BTreeMap<usize, Vec<Time>>,
     pub(super) open: BTreeSet<RequestId>,
     /// When it was told that a box drains or is gone.
     pub(super) drains: BTreeMap<usize, Time>,
-    /// The ready ones, for random choice.
-    pub(super) ready: BTreeSet<usize>,
+    /// The ready ones, and when they booted, as it was told.
+    pub(super) ready: BTreeMap<usize, Option<Time>>,
+}
+
+/// What is wrong with links and lists now.
+pub(super) struct Faults {
+    pub(super) dice: Dice,
+    /// The zone that is cut off.
+    pub(super) cut: Option<ZoneId>,
+    /// Attempts that wait for the end of the cut.
+    pub(super) stalled: Vec<usize>,
+    /// Lists stopped then.
+    pub(super) stopped: Option<Time>,
+    /// Lists come so much later.
+    pub(super) late: Micros,
+    /// These parts of the answers are lost, and of the connections broken.
+    pub(super) lost: f64,
+    pub(super) reset: f64,
+    /// Boxes that are dead.
+    pub(super) dead: Vec<usize>,
+}
+
+impl Faults {
+    pub(super) fn new(seed: u64) -> Faults {
+        let (cut, stopped, late) = (None, None, Micros(0));
+        let (stalled, dead) = (Vec::new(), Vec::new());
+        Faults { dice: Dice::of(seed, "faults"), cut, stalled, stopped, late, lost: 0.0, reset: 0.0, dead }
+    }
 }
 
 /// A line of the list's log.
@@ -92,6 +169,7 @@
     pub(super) at: Time,
     pub(super) site: usize,
     pub(super) state: BackendState,
+    pub(super) booted: Option<Time>,
 }
 
 pub(super) struct World<'a> {
@@ -117,6 +195,7 @@
     pub(super) todo: VecDeque<(usize, Event)>,
     pub(super) dice: Dice,
     pub(super) burst: f64,
+    pub(super) faults: Faults,
     pub(super) account: Account,
     pub(super) watch: Watch,
     pub(super) last: u64,
--- a/crates/emulate/src/site.rs
+++ b/crates/emulate/src/site.rs
@@ -15,6 +15,9 @@
 const REST_S: f64 = 3.0;
 const MOST_S: f64 = 24.0;
 
+/// So much of what it said is kept: lists that come late tell of it.
+const SAID: usize = 16;
+
 /// What it says, and when that can be read.
 #[derive(Clone, Copy, Debug)]
 struct Said {
@@ -28,6 +31,10 @@
     pub station: Station,
     pub power: Power,
     pub booted: Option<Time>,
+    /// Counts its lives: connections of an earlier one are no more.
+    pub life: u32,
+    /// Down: nothing listens.
+    pub dead: bool,
     common: Boxes,
     reports: Option<Reports>,
     dice: Dice,
@@ -58,6 +65,8 @@
             station: Station::new(power, booted, common.slots.0, common.slots.1),
             power,
             booted,
+            life: 0,
+            dead: false,
             common: common.clone(),
             lies: reports.as_ref().is_some_and(|r| lies < r.liars),
             mute: reports.as_ref().is_some_and(|r| mute < r.silent),
@@ -76,6 +85,26 @@
         }
     }
 
+    /// All that it holds is lost, and so are its connections.
+    pub fn dies(&mut self) {
+        (self.dead, self.connections, self.life) = (true, 0, self.life + 1);
+        self.station = Station::new(self.power, self.booted, self.common.slots.0, self.common.slots.1);
+        (self.crowd, self.busy, self.crowded_since, self.served) = (0.0, 0.0, None, (0.0, 0.0));
+    }
+
+    /// It is back, and cold.
+    pub fn returns(&mut self, now: Time) {
+        (self.dead, self.booted) = (false, Some(now));
+        self.said.clear();
+        self.station = Station::new(self.power, self.booted, self.common.slots.0, self.common.slots.1);
+        self.apply(now);
+    }
+
+    /// It is slow from crowding.
+    pub fn crowded(&self) -> bool {
+        self.crowded_since.is_some()
+    }
+
     pub fn held(&self) -> f64 {
         (self.station.in_service() + self.station.queued()) as f64
     }
@@ -106,6 +135,9 @@
 
     /// Looks at itself, once every [`LOOK`].
     pub fn look(&mut self, now: Time) {
+        if self.dead {
+            return;
+        }
         let held = self.held();
         let step = |memory: f64| 1.0 - (-LOOK.secs() / memory).exp();
         self.crowd += (held - self.crowd) * step(CROWD_S);
@@ -144,7 +176,7 @@
         let held = if self.lies { lie.clamp(0.0, 1e6) } else { held * noise };
         self.said.push_back(Said { from: now + reports.lag, report, held });
         (self.served, self.next_report) = ((0.0, 0.0), now + reports.period);
-        while self.said.len() > 8 {
+        while self.said.len() > SAID {
             self.said.pop_front();
         }
     }
--- a/crates/emulate/tests/fleet.rs
+++ b/crates/emulate/tests/fleet.rs
@@ -1,7 +1,7 @@
 //! The decisions at scale, on the emulated fleet: what reports of load bring, and that lies in them do bounded harm.
 
 use shaletide_base::Micros;
-use shaletide_emulate::account::ENDS;
+use shaletide_emulate::account::End;
 use shaletide_emulate::day::{Reports, Trouble};
 use shaletide_emulate::play::Played;
 use shaletide_emulate::{play, Day, Who};
@@ -120,6 +120,6 @@
     let herd = small(Day::calm(80, 50, 0.6, 1).with("herd", 4, 5, Trouble::Herd(0.7)));
     let played = play(&herd, Who::Program);
     sound(&played);
-    let died = played.account.ends[ENDS.len() - 1];
+    let died = played.account.ends[End::Died as usize];
     assert!(died > 20, "nobody was hit: {died}");
 }
