--- a/crates/emulate/src/day.rs
+++ b/crates/emulate/src/day.rs
@@ -94,6 +94,63 @@
     Reset(f64),
 }
 
+impl Trouble {
+    /// By its name and how much of it there is.
+    fn named(name: &str, much: Option<f64>) -> Option<Trouble> {
+        let part = much.filter(|m| (0.0..=1.0).contains(m));
+        let factor = much.filter(|m| (0.01..=100.0).contains(m));
+        Some(match name {
+            "burst" => Trouble::Burst(factor?),
+            "herd" => Trouble::Herd(part?),
+            "replace" => Trouble::Replace(part?),
+            "slow" => Trouble::Slow(factor?),
+            "silent" => Trouble::Silent(part?),
+            "lost" => Trouble::Lost(part?),
+            "reset" => Trouble::Reset(part?),
+            "lists-late" => Trouble::ListsLate(factor?),
+            "cut" if much.is_none() => Trouble::Cut,
+            "zone-dies" if much.is_none() => Trouble::ZoneDies,
+            "lists-stop" if much.is_none() => Trouble::ListsStop,
+            _ => return None,
+        })
+    }
+}
+
+/// A trouble and its time, from the start of the day.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Planned {
+    /// It begins then ...
+    pub from: Micros,
+    /// ... and ends then.
+    pub to: Micros,
+    /// What goes wrong.
+    pub trouble: Trouble,
+}
+
+impl std::str::FromStr for Planned {
+    type Err = String;
+
+    fn from_str(text: &str) -> Result<Planned, String> {
+        let second = |text: &str| text.parse::<u32>().ok().map(|s| ms(u64::from(s) * 1_000));
+        let read = || {
+            let (what, when) = text.split_once('@')?;
+            let (from, to) = when.split_once('-')?;
+            let (from, to) = (second(from)?, second(to)?);
+            let (name, much) = match what.split_once('=') {
+                Some((name, much)) => (name, Some(much.parse().ok()?)),
+                None => (what, None),
+            };
+            let trouble = Trouble::named(name, much)?;
+            (from < to).then_some(Planned { from, to, trouble })
+        };
+        read().ok_or_else(|| {
+            "not NAME@FROM-TO or NAME=NUMBER@FROM-TO with cut, zone-dies, lists-stop, lists-late, lost, reset, burst, \
+             herd, replace, slow or silent"
+                .into()
+        })
+    }
+}
+
 /// A day.
 #[derive(Clone, Debug)]
 pub struct Day {
@@ -112,6 +169,8 @@
     pub uneven: f64,
     /// The first proxy gets so many times the mean; 1 is as the others.
     pub hot: f64,
+    /// The zones' traffic, by their numbers, from 1 less this to 1 and this times an even part.
+    pub zone_skew: f64,
     /// Boxes.
     pub boxes: u32,
     /// Zones.
@@ -165,6 +224,7 @@
             told: proxies,
             uneven: 0.5,
             hot: 1.0,
+            zone_skew: 0.0,
             boxes,
             zones: 5,
             load,
@@ -205,7 +265,7 @@
 
     /// A day by its name: `calm` has a burst, `herd` loses seven in ten proxies, `join` gets six in ten boxes anew,
     /// `split` cuts a zone off while lists come late and links lose, `slow` has all boxes slow, `silent` a fifth of
-    /// them silent, and on `zone` those of one zone die.
+    /// them silent, and on `zone` those of one zone die; `none` has no trouble.
     pub fn named(name: &str, proxies: u32, boxes: u32, seed: u64) -> Option<Day> {
         let calm = |load| Day::calm(proxies, boxes, load, seed);
         Some(match name {
@@ -222,6 +282,7 @@
             "slow" => calm(0.55).with("slow", 7, 11, Trouble::Slow(2.0)),
             "silent" => calm(0.7).with("silent", 6, 12, Trouble::Silent(0.2)),
             "zone" => calm(0.6).with("zone", 6, 11, Trouble::ZoneDies),
+            "none" => calm(0.7),
             _ => return None,
         })
     }
@@ -271,6 +332,11 @@
         let mut dice = Dice::of(self.seed, "front");
         let law = Law::LogNormal(1.0, self.uneven.max(1e-9));
         let mut parts: Vec<f64> = (0..self.proxies).map(|_| law.draw(&mut dice)).collect();
+        let last = f64::from(self.zones.saturating_sub(1).max(1));
+        for (position, part) in (0u32..).zip(&mut parts) {
+            let zone = f64::from(position % self.zones);
+            *part *= 1.0 + self.zone_skew * (2.0 * zone / last - 1.0);
+        }
         let mean = parts.iter().sum::<f64>() / parts.len().max(1) as f64;
         if self.hot != 1.0 {
             parts[0] = mean * self.hot;
@@ -294,3 +360,41 @@
         (kind, Power { cores: 1, speed: k.speed.draw(&mut dice).max(0.1), cold_from, ramp })
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn a_trouble_is_read_with_its_time_and_what_makes_no_sense_is_not() {
+        let read = |text: &str| text.parse::<Planned>().ok().map(|p| (p.from, p.to, p.trouble));
+        assert_eq!(read("cut@6-12"), Some((ms(6_000), ms(12_000), Trouble::Cut)));
+        assert_eq!(read("lists-late=3@0-1"), Some((ms(0), ms(1_000), Trouble::ListsLate(3.0))));
+        let wrong = [
+            "",
+            "cut",
+            "cut@6",
+            "cut@12-6",
+            "cut=1@6-12",
+            "lost@1-2",
+            "lost=2@1-2",
+            "burst=NaN@1-2",
+            "x@1-2",
+        ];
+        assert_eq!(wrong.map(read), wrong.map(|_| None));
+    }
+
+    #[test]
+    fn every_named_day_is_there_and_no_other() {
+        assert!(Day::NAMES.iter().all(|name| Day::named(name, 3, 5, 1).is_some_and(|d| d.name == *name)));
+        assert!(Day::named("noon", 3, 5, 1).is_none());
+    }
+
+    #[test]
+    fn a_skew_of_zones_gives_the_last_so_much_more_and_the_first_so_much_less() {
+        let parts = Day { zone_skew: 0.5, uneven: 0.0, ..Day::calm(10, 5, 0.7, 1) }.parts();
+        let zone = |z: usize| (parts[z] + parts[z + 5]) * 5.0;
+        assert!((parts.iter().sum::<f64>() - 1.0).abs() < 1e-9);
+        assert!((zone(0) - 0.5).abs() < 1e-6 && (zone(2) - 1.0).abs() < 1e-6 && (zone(4) - 1.5).abs() < 1e-6);
+    }
+}
--- a/crates/emulate/src/main.rs
+++ b/crates/emulate/src/main.rs
@@ -2,6 +2,7 @@
 
 use clap::Parser;
 use shaletide_emulate::account::ENDS;
+use shaletide_emulate::day::Planned;
 use shaletide_emulate::{play, Day, Who};
 use std::process::ExitCode;
 use std::time::Instant;
@@ -11,7 +12,7 @@
 #[derive(Debug, Parser)]
 #[command(name = "shaletide-emulate", version)]
 struct Cli {
-    /// The day: calm, herd, join, split, slow, silent or zone; or all.
+    /// The day: calm, herd, join, split, slow, silent, zone or none; or all.
     #[arg(long, default_value = "calm")]
     day: String,
     /// Proxies.
@@ -26,11 +27,39 @@
     /// How long the day lasts.
     #[arg(long, default_value_t = 20, value_parser = clap::value_parser!(u64).range(1..=3600))]
     seconds: u64,
+    /// Traffic as a part of what all boxes can do, in place of the day's own.
+    #[arg(long, value_parser = parse_load)]
+    load: Option<f64>,
+    /// How uneven the zones' traffic is: from 1 less this to 1 and this times an even part, by the zones' numbers.
+    #[arg(long, value_parser = parse_skew)]
+    zone_skew: Option<f64>,
+    /// A further trouble, as NAME or NAME=NUMBER, @, and from which second to which, as `lists-stop@6-12` or
+    /// `burst=1.5@3-9`; may be given several times. With --day none there is no other.
+    #[arg(long)]
+    trouble: Vec<Planned>,
     /// Show second by second what was served, what was refused and why, and how the boxes are.
     #[arg(long)]
     by_second: bool,
 }
 
+fn parse_load(text: &str) -> Result<f64, String> {
+    let load: f64 = text.parse().map_err(|_| "not a number".to_string())?;
+    if (0.01..=10.0).contains(&load) {
+        Ok(load)
+    } else {
+        Err("not from 0.01 to 10".into())
+    }
+}
+
+fn parse_skew(text: &str) -> Result<f64, String> {
+    let skew: f64 = text.parse().map_err(|_| "not a number".to_string())?;
+    if (0.0..=0.95).contains(&skew) {
+        Ok(skew)
+    } else {
+        Err("not from 0 to 0.95".into())
+    }
+}
+
 fn main() -> ExitCode {
     let cli = Cli::parse();
     let names: Vec<&str> = if cli.day == "all" { Day::NAMES.to_vec() } else { vec![&cli.day] };
@@ -40,6 +69,9 @@
             eprintln!("shaletide-emulate: no day {name:?}; there are {}", Day::NAMES.join(", "));
             return ExitCode::from(2);
         };
+        day.zone_skew = cli.zone_skew.unwrap_or(day.zone_skew);
+        day.load = cli.load.unwrap_or(day.load);
+        day.troubles.extend(cli.trouble.iter().map(|t| (t.from, t.to, t.trouble.clone())));
         day.length = shaletide_base::Micros(cli.seconds * 1_000_000);
         println!(
             "{name}: {} proxies, {} boxes, seed {}, {} s",
