--- a/crates/emulate/src/main.rs
+++ b/crates/emulate/src/main.rs
@@ -37,6 +37,9 @@
     /// `burst=1.5@3-9`; may be given several times. With --day none there is no other.
     #[arg(long)]
     trouble: Vec<Planned>,
+    /// Who decides: random, without, program or one; all of them else.
+    #[arg(long)]
+    who: Option<Who>,
     /// Show second by second what was served, what was refused and why, and how the boxes are.
     #[arg(long)]
     by_second: bool,
@@ -77,7 +80,7 @@
             "{name}: {} proxies, {} boxes, seed {}, {} s",
             cli.proxies, cli.boxes, cli.seed, cli.seconds
         );
-        for who in Who::ALL {
+        for who in Who::ALL.into_iter().filter(|who| cli.who.is_none_or(|only| only == *who)) {
             let begun = Instant::now();
             let played = play(&day, who);
             let a = &played.account;
--- a/crates/emulate/src/play.rs
+++ b/crates/emulate/src/play.rs
@@ -45,6 +45,20 @@
     }
 }
 
+impl std::str::FromStr for Who {
+    type Err = &'static str;
+
+    fn from_str(text: &str) -> Result<Who, Self::Err> {
+        match text {
+            "random" => Ok(Who::Random),
+            "without" => Ok(Who::Earlier),
+            "program" => Ok(Who::Program),
+            "one" => Ok(Who::One),
+            _ => Err("not random, without, program or one"),
+        }
+    }
+}
+
 /// What came of it.
 #[derive(Debug)]
 pub struct Played {
