--- a/crates/emulate/src/day.rs
+++ b/crates/emulate/src/day.rs
@@ -64,6 +64,8 @@
     pub liars: f64,
     /// This part says nothing.
     pub silent: f64,
+    /// All say that they hold just so many.
+    pub all_say: Option<f64>,
 }
 
 /// Something that goes wrong.
@@ -92,6 +94,8 @@
     Lost(f64),
     /// This part of the connections breaks under its request.
     Reset(f64),
+    /// The front deals nothing to this part of the proxies, and all to the others.
+    Quiet(f64),
 }
 
 impl Trouble {
@@ -107,6 +111,7 @@
             "silent" => Trouble::Silent(part?),
             "lost" => Trouble::Lost(part?),
             "reset" => Trouble::Reset(part?),
+            "quiet" => Trouble::Quiet(part?),
             "lists-late" => Trouble::ListsLate(factor?),
             "cut" if much.is_none() => Trouble::Cut,
             "zone-dies" if much.is_none() => Trouble::ZoneDies,
@@ -145,7 +150,7 @@
         };
         read().ok_or_else(|| {
             "not NAME@FROM-TO or NAME=NUMBER@FROM-TO with cut, zone-dies, lists-stop, lists-late, lost, reset, burst, \
-             herd, replace, slow or silent"
+             herd, quiet, replace, slow or silent"
                 .into()
         })
     }
@@ -246,7 +251,14 @@
                 crowded: 6.5,
                 slower: 2.8,
             },
-            reports: Some(Reports { period: ms(1_000), lag: ms(300), noise: 0.04, liars: 0.0, silent: 0.0 }),
+            reports: Some(Reports {
+                period: ms(1_000),
+                lag: ms(300),
+                noise: 0.04,
+                liars: 0.0,
+                silent: 0.0,
+                all_say: None,
+            }),
             list_lag: ms(400),
             net: (ms(1), ms(4)),
             front_notices: (ms(1_000), ms(3_000)),
--- a/crates/emulate/src/play.rs
+++ b/crates/emulate/src/play.rs
@@ -100,7 +100,7 @@
             sizes: Vec::new(),
             log: Vec::new(),
             proxies: Vec::new(),
-            parts: if who == Who::One { vec![1.0] } else { day.parts() },
+            parts: Vec::new(),
             clients: Vec::new(),
             requests: BTreeMap::new(),
             attempts: Vec::new(),
@@ -113,6 +113,7 @@
             watch: Watch::default(),
             last: 0,
         };
+        world.parts = world.deal();
         (0..day.boxes).for_each(|_| {
             world.add_box(None);
         });
--- a/crates/emulate/src/play/clients.rs
+++ b/crates/emulate/src/play/clients.rs
@@ -74,6 +74,15 @@
         self.todo.push_back((proxy, Event::Request { arrival, pools: Rc::new([POOL]) }));
     }
 
+    /// Each proxy's part of the clients.
+    pub(super) fn deal(&self) -> Vec<f64> {
+        if self.who == Who::One {
+            vec![1.0]
+        } else {
+            self.day.parts()
+        }
+    }
+
     /// The front passes over those that it knows to be dead.
     fn deals(&self, client: usize) -> Option<usize> {
         let (first, all) = (self.clients[client].proxy, self.proxies.len());
--- a/crates/emulate/src/play/troubles.rs
+++ b/crates/emulate/src/play/troubles.rs
@@ -44,6 +44,13 @@
             Trouble::ListsLate(secs) => self.faults.late = Micros::from_secs(*secs),
             Trouble::Lost(part) => self.faults.lost = *part,
             Trouble::Reset(part) => self.faults.reset = *part,
+            Trouble::Quiet(part) => {
+                for dealt in &mut self.parts {
+                    if dice.chance(*part) {
+                        *dealt = 0.0;
+                    }
+                }
+            }
         }
     }
 
@@ -62,6 +69,7 @@
             Trouble::ListsLate(_) => self.faults.late = Micros(0),
             Trouble::Lost(_) => self.faults.lost = 0.0,
             Trouble::Reset(_) => self.faults.reset = 0.0,
+            Trouble::Quiet(_) => self.parts = self.deal(),
         }
     }
 
--- a/crates/emulate/src/site.rs
+++ b/crates/emulate/src/site.rs
@@ -171,9 +171,10 @@
                 LoadReport { in_flight: Some(lie), errors_per_s: Some(lie), latency_ms: Some(lie) }
             }
             () if self.mute => LoadReport::default(),
+            () if reports.all_say.is_some() => LoadReport { in_flight: reports.all_say, ..honest },
             () => honest,
         };
-        let held = if self.lies { lie.clamp(0.0, 1e6) } else { held * noise };
+        let held = if self.lies { lie.clamp(0.0, 1e6) } else { reports.all_say.unwrap_or(held * noise) };
         self.said.push_back(Said { from: now + reports.lag, report, held });
         (self.served, self.next_report) = ((0.0, 0.0), now + reports.period);
         while self.said.len() > SAID {
--- a/crates/emulate/tests/fleet.rs
+++ b/crates/emulate/tests/fleet.rs
@@ -78,7 +78,14 @@
 fn reports_that_lie_or_are_missing_do_bounded_harm() {
     let reports = |liars, silent, lag| {
         move |seed| {
-            let reports = Reports { period: Micros(1_000_000), lag: Micros(lag), noise: 0.04, liars, silent };
+            let reports = Reports {
+                period: Micros(1_000_000),
+                lag: Micros(lag),
+                noise: 0.04,
+                liars,
+                silent,
+                all_say: None,
+            };
             Day { reports: Some(reports), ..calm(seed) }
         }
     };
