--- a/crates/emulate/src/play/attempts.rs
+++ b/crates/emulate/src/play/attempts.rs
@@ -25,56 +25,49 @@
         self.account.by_box[site] += 1;
         let crosses = self.rows[site].zone != self.proxies[proxy].zone;
         self.account.crossed += u64::from(crosses);
-        let way = if crosses { self.day.net.1 } else { self.day.net.0 };
         let attempt = self.attempts.len();
-        let mut work_ms = sort.work_ms.draw(&mut self.dice);
+        let work_ms = sort.work_ms.draw(&mut self.dice);
         let (life, sent) = (self.proxies[proxy].life, self.now);
-        self.tidy(proxy, site);
-        let idle = self.proxies[proxy].idle.get_mut(&site).and_then(Vec::pop);
-        let mut wait = way;
-        let mut refuses = false;
-        if idle.is_none() {
-            let common = &self.day.common;
-            let cut = self.cut_between(proxy, site);
-            refuses = cut
-                || self.sites[site].dead
-                || self.sites[site].connections >= common.connections
-                || self.rows[site].state == BackendState::Gone;
-            wait = if cut { CONNECT } else { Micros(wait.0 + common.handshake.0 .0) };
-            if !refuses {
-                work_ms += common.handshake.1;
-                self.sites[site].connections += 1;
-                self.account.handshakes += 1;
-            }
-        }
+        let (wait, fresh) = self.connects(proxy, site);
+        let connected = fresh.is_some().then_some(self.sites[site].life);
+        let work_ms = work_ms + fresh.unwrap_or(0.0);
         let (at_box, over, never_ran) = (false, false, false);
-        let connected = (!refuses).then_some(self.sites[site].life);
-        self.attempts.push(Attempt {
-            id,
-            no,
-            proxy,
-            life,
-            site,
-            connected,
-            sent,
-            at_box,
-            over,
-            never_ran,
-            work_ms,
-        });
+        let a = Attempt { id, no, proxy, life, site, connected, sent, at_box, over, never_ran, work_ms };
+        self.attempts.push(a);
         self.out.insert((id, no), attempt);
         if let Some(open) = self.requests.get_mut(&id) {
             open.tries.push(attempt);
         }
-        if refuses {
-            self.at(self.now + wait, Ev::Back { attempt, outcome: Outcome::ConnectFailed });
-        } else {
-            self.at(self.now + wait, Ev::AtBox { attempt });
-            if self.faults.reset > 0.0 && self.faults.dice.chance(self.faults.reset) {
-                let breaks = Micros(wait.0 + (self.faults.dice.part() * BREAKS) as u64);
-                self.at(self.now + breaks, Ev::Back { attempt, outcome: Outcome::Reset });
-            }
+        if connected.is_none() {
+            return self.at(self.now + wait, Ev::Back { attempt, outcome: Outcome::ConnectFailed });
+        }
+        self.at(self.now + wait, Ev::AtBox { attempt });
+        if self.faults.reset > 0.0 && self.faults.dice.chance(self.faults.reset) {
+            let breaks = Micros(wait.0 + (self.faults.dice.part() * BREAKS) as u64);
+            self.at(self.now + breaks, Ev::Back { attempt, outcome: Outcome::Reset });
+        }
+    }
+
+    /// When a request sent now is at the box, or is known not to get there, and what a connection made for it costs
+    /// the box, ms of work: nothing where one rested, none where none comes up.
+    fn connects(&mut self, proxy: usize, site: usize) -> (Micros, Option<f64>) {
+        let way = self.way_between(proxy, site);
+        self.tidy(proxy, site);
+        if self.proxies[proxy].idle.get_mut(&site).and_then(Vec::pop).is_some() {
+            return (way, Some(0.0));
+        }
+        if self.cut_between(proxy, site) {
+            return (CONNECT, None);
         }
+        let common = &self.day.common;
+        let s = &mut self.sites[site];
+        let wait = Micros(way.0 + common.handshake.0 .0);
+        if s.dead || s.connections >= common.connections || self.rows[site].state == BackendState::Gone {
+            return (wait, None);
+        }
+        s.connections += 1;
+        self.account.handshakes += 1;
+        (wait, Some(common.handshake.1))
     }
 
     /// Connections that rested too long are closed.
@@ -131,7 +124,11 @@
 
     pub(super) fn way(&self, attempt: usize) -> Micros {
         let a = &self.attempts[attempt];
-        if self.rows[a.site].zone == self.proxies[a.proxy].zone {
+        self.way_between(a.proxy, a.site)
+    }
+
+    fn way_between(&self, proxy: usize, site: usize) -> Micros {
+        if self.rows[site].zone == self.proxies[proxy].zone {
             self.day.net.0
         } else {
             self.day.net.1
