--- a/crates/emulate/src/main.rs
+++ b/crates/emulate/src/main.rs
@@ -2,6 +2,7 @@
 
 use clap::Parser;
 use shaletide_emulate::account::ENDS;
+use shaletide_emulate::day::Planned;
 use shaletide_emulate::{play, Day, Who};
 use std::process::ExitCode;
 use std::time::Instant;
@@ -11,7 +12,7 @@
 #[derive(Debug, Parser)]
 #[command(name = "shaletide-emulate", version)]
 struct Cli {
-    /// The day: calm, herd, join, split or slow; or all.
+    /// The day: calm, herd, join, split, slow, silent, zone or none; or all.
     #[arg(long, default_value = "calm")]
     day: String,
     /// Proxies.
@@ -26,11 +27,42 @@
     /// How long the day lasts.
     #[arg(long, default_value_t = 20, value_parser = clap::value_parser!(u64).range(1..=3600))]
     seconds: u64,
-    /// Show what was served second by second.
+    /// Traffic as a part of what all boxes can do, in place of the day's own.
+    #[arg(long, value_parser = parse_load)]
+    load: Option<f64>,
+    /// How uneven the zones' traffic is: from 1 less this to 1 and this times an even part, by the zones' numbers.
+    #[arg(long, value_parser = parse_skew)]
+    zone_skew: Option<f64>,
+    /// A further trouble, as NAME or NAME=NUMBER, @, and from which second to which, as `lists-stop@6-12` or
+    /// `burst=1.5@3-9`; may be given several times. With --day none there is no other.
+    #[arg(long)]
+    trouble: Vec<Planned>,
+    /// Who decides: random, without, program or one; all of them else.
+    #[arg(long)]
+    who: Option<Who>,
+    /// Show second by second what was served, what was refused and why, and how the boxes are.
     #[arg(long)]
     by_second: bool,
 }
 
+fn parse_load(text: &str) -> Result<f64, String> {
+    let load: f64 = text.parse().map_err(|_| "not a number".to_string())?;
+    if (0.01..=10.0).contains(&load) {
+        Ok(load)
+    } else {
+        Err("not from 0.01 to 10".into())
+    }
+}
+
+fn parse_skew(text: &str) -> Result<f64, String> {
+    let skew: f64 = text.parse().map_err(|_| "not a number".to_string())?;
+    if (0.0..=0.95).contains(&skew) {
+        Ok(skew)
+    } else {
+        Err("not from 0 to 0.95".into())
+    }
+}
+
 fn main() -> ExitCode {
     let cli = Cli::parse();
     let names: Vec<&str> = if cli.day == "all" { Day::NAMES.to_vec() } else { vec![&cli.day] };
@@ -40,12 +72,15 @@
             eprintln!("shaletide-emulate: no day {name:?}; there are {}", Day::NAMES.join(", "));
             return ExitCode::from(2);
         };
+        day.zone_skew = cli.zone_skew.unwrap_or(day.zone_skew);
+        day.load = cli.load.unwrap_or(day.load);
+        day.troubles.extend(cli.trouble.iter().map(|t| (t.from, t.to, t.trouble.clone())));
         day.length = shaletide_base::Micros(cli.seconds * 1_000_000);
         println!(
             "{name}: {} proxies, {} boxes, seed {}, {} s",
             cli.proxies, cli.boxes, cli.seed, cli.seconds
         );
-        for who in Who::ALL {
+        for who in Who::ALL.into_iter().filter(|who| cli.who.is_none_or(|only| only == *who)) {
             let begun = Instant::now();
             let played = play(&day, who);
             let a = &played.account;
@@ -71,6 +106,14 @@
             if cli.by_second {
                 let parts: Vec<String> = a.by_second().iter().map(|p| format!("{:.0}", p * 100.0)).collect();
                 println!("    served by second, %: {}", parts.join(" "));
+                for (at, why) in ["at once", "held", "sent"].iter().enumerate() {
+                    let all: Vec<String> = a.refused.iter().map(|r| r[at].to_string()).collect();
+                    println!("    refused {why}, by second: {}", all.join(" "));
+                }
+                let slow: Vec<String> = a.boxes.iter().map(|b| b.0.to_string()).collect();
+                println!("    boxes slow from crowding as each second ends: {}", slow.join(" "));
+                let held: Vec<String> = a.boxes.iter().map(|b| format!("{:.1}", b.1)).collect();
+                println!("    requests that a box holds then: {}", held.join(" "));
             }
             // Random choice keeps no rule but by luck.
             if who != Who::Random && played.watch.count > 0 {
