Six proxies share a box where boxes speak, and a zone that is cut off is known as one

Change: SHARED_TOLD = 6 proxies a box where boxes speak; a box's own word goes before the list's, and a list that is off from those that answered here counts for nothing; the way to allot does not change as news stops; reach.rs knows a zone by four silent attempts at two boxes; the part of all traffic goes by what was served (Little), not by attempts that hang; the own view gives way to what all hold; what is let in follows m / (1 + m) instead of a ramp. Without reports 20 proxies a box as before; reach and the part reached are new there for more than four proxies.

--- a/crates/balancer/src/lib.rs
+++ b/crates/balancer/src/lib.rs
@@ -7,6 +7,7 @@
 
 mod interface;
 mod loads;
+mod reach;
 mod rules;
 mod state;
 
--- a/crates/balancer/src/loads.rs
+++ b/crates/balancer/src/loads.rs
@@ -6,27 +6,26 @@
 //! A backend may say anything, late or never. What it says is held to what can be, counts for itself alone but for
 //! one part in the fleet's mean, and is worth nothing when it is old.
 
-use crate::state::Peer;
+use crate::state::{Peer, Said};
 use shaletide_base::*;
 use std::collections::BTreeMap;
 
-/// Memory of what a backend says it holds, s: about as long as one that is too full takes to turn slow.
-const TOLD_MEMORY: f64 = 1.0;
-/// What was said so long ago is worth nothing any more, s: a list did not come. Whoever is cut off hears of nothing.
-const TOLD_WORTH: f64 = 2.2;
-/// More than this is not believed, requests a core: boxes hold some tens at most.
-const TOLD_MOST: f64 = 64.0;
 /// A longer latency is not believed, ms.
 const LATENCY_MOST_MS: f64 = 60_000.0;
 /// The fleet's mean counts a backend with so many times the hold at most: one that lies or is choked moves it by
 /// its part of that.
 const MEAN_MOST: f64 = 2.0;
 /// So many backends have to have said something, and half of those in use.
-const TOLD_FEW: usize = 12;
-/// Share of the requests that are let in, by worth: it falls so fast when all hold twice the wanted, a second.
-const ADMIT_DOWN: f64 = 0.25;
-/// ... and rises so fast when they hold nothing. News is a second or two old, so both are slow beside that.
-const ADMIT_UP: f64 = 0.6;
+const TOLD_FEW: f64 = 12.0;
+/// ... or so many in answers to this proxy: those that it uses.
+const ANSWERS_FEW: f64 = 3.0;
+/// By such a factor list and answers differ by chance.
+const LIST_OFF: f64 = 1.6;
+/// So long after the last word, s, pools are still taken for ones whose boxes speak.
+const SPOKEN_FOR: f64 = 30.0;
+/// A shared processor that holds m is busy m / (1 + m) of the time. What is let in moves towards the part at which
+/// that would be as wanted, by so many times the step a second: news is a second or two old.
+const ADMIT_GAIN: f64 = 4.0;
 /// However full all say they are, this part is let in: they may be wrong.
 const ADMIT_LEAST: f64 = 0.4;
 /// This part of the range turns away only what is worth little.
@@ -41,52 +40,13 @@
 /// This proxy's part of all traffic is learned over so long, s: what goes unanswered here for a while says nothing
 /// of it ...
 const PART_MEMORY: f64 = 15.0;
+/// ... at first over this, s: what was told is a guess.
+const PART_FIRST: f64 = 2.0;
 /// ... and is so many times an even one at most, ...
 const PART_MOST: f64 = 4.0;
 /// ... or one part in so many at least.
 const PART_LEAST: f64 = 2.0;
 
-/// What a backend was last heard to hold.
-#[derive(Clone, Copy, Debug, Default, PartialEq)]
-pub(crate) struct Told {
-    /// Requests a core, over the last second or so.
-    pub held: f64,
-    /// The same as it was last heard.
-    last: f64,
-    at: Option<Time>,
-    /// How long serving one took there lately, s, and when it said so.
-    latency: Option<(f64, Time)>,
-    /// What part of an even share it can bear, as far as what it holds has shown.
-    bears: Option<f64>,
-}
-
-impl Told {
-    /// It says that it holds so many a core.
-    fn hear(&mut self, now: Time, held: f64) {
-        if !held.is_finite() || held < 0.0 {
-            return;
-        }
-        // Nothing held, and never anything else said: an old list, or one from before the traffic.
-        if held == 0.0 && self.at.is_none() {
-            return;
-        }
-        let step = self.at.map_or(1.0, |at| 1.0 - (-(now - at).secs() / TOLD_MEMORY).exp());
-        self.last = held.min(TOLD_MOST);
-        self.held += (held.min(TOLD_MOST) - self.held) * step;
-        self.at = Some(now);
-    }
-
-    /// How long serving one took there lately, s, in the mean over all that it served.
-    pub fn latency(&self, now: Time) -> Option<f64> {
-        self.latency.filter(|(_, at)| (now - *at).secs() < TOLD_MEMORY).map(|(secs, _)| secs)
-    }
-
-    /// What it holds, if that is known and not old.
-    pub fn fresh(&self, now: Time) -> Option<f64> {
-        self.at.filter(|at| (now - *at).secs() < TOLD_WORTH).map(|_| self.held)
-    }
-}
-
 /// What is made of it for the fleet.
 #[derive(Clone, Debug)]
 pub(crate) struct Loads {
@@ -96,12 +56,31 @@
     pub mean: Option<f64>,
     /// The part of the requests that there is room for.
     admit: f64,
-    /// As many proxies like this one would make the fleet.
+    /// As many proxies like this one would make the fleet, and how long that was learned, s.
     fleet: f64,
+    learned: f64,
     at: Option<Time>,
+    heard: Option<Time>,
     taken_stock: f64,
 }
 
+/// A sum on its way to a mean.
+#[derive(Default)]
+struct Sum {
+    sum: f64,
+    count: f64,
+}
+
+impl Sum {
+    fn add(&mut self, value: f64) {
+        (self.sum, self.count) = (self.sum + value, self.count + 1.0);
+    }
+
+    fn mean(&self) -> f64 {
+        self.sum / self.count.max(1.0)
+    }
+}
+
 impl Loads {
     pub fn new(proxies: u32) -> Loads {
         Loads {
@@ -109,7 +88,9 @@
             mean: None,
             admit: 1.0,
             fleet: f64::from(proxies),
+            learned: 0.0,
             at: None,
+            heard: None,
             taken_stock: 0.0,
         }
     }
@@ -125,7 +106,7 @@
         if weight > 0.0 {
             let size = self.sizes.entry(p.entry.kind).or_default();
             *size = size.max(weight);
-            p.told.hear(now, *size / weight - 1.0);
+            p.told.list.hear(now, *size / weight - 1.0);
         }
     }
 
@@ -136,44 +117,67 @@
             p.told.latency = Some((ms / 1e3, now));
         }
         if let Some(held) = report.in_flight {
-            p.told.hear(now, held / f64::from(p.entry.cores.max(1)));
+            p.told.answers.hear(now, held / f64::from(p.entry.cores.max(1)));
         }
     }
 
-    /// Takes stock. `own` is what this proxy holds at them over the last seconds, `hold` the wanted load a core.
+    /// Takes stock. `own` is what this proxy's served requests take up at them, `hold` the wanted load a core.
     pub fn take_stock<'a>(
         &mut self, now: Time, peers: impl Iterator<Item = &'a Peer>, proxies: u32, own: Option<f64>,
         hold: f64,
     ) {
-        let (mut used, mut heard, mut held, mut mean) = (0, 0, 0.0, 0.0);
+        let (mut used, mut held) = (0.0, 0.0);
+        let (mut list, mut answers, mut both) = (Sum::default(), Sum::default(), (0.0, 0.0));
         for p in peers.filter(|p| p.entry.state == BackendState::Ready && p.ejected.is_none()) {
-            used += 1;
-            if let Some(told) = p.told.fresh(now) {
-                heard += 1;
-                held += told * f64::from(p.entry.cores);
-                mean += p.told.last.min(hold * MEAN_MOST);
+            used += 1.0;
+            let cut = |said: Said| said.last.min(hold * MEAN_MOST);
+            let (l, a) = (p.told.list.fresh(now), p.told.answers.fresh(now));
+            if let Some(said) = l {
+                list.add(cut(said));
+                held += said.held * f64::from(p.entry.cores);
+            }
+            if let Some(said) = a {
+                answers.add(cut(said));
+            }
+            if let (Some(l), Some(a)) = (l, a) {
+                both = (both.0 + cut(l), both.1 + cut(a));
             }
         }
-        let proxies = f64::from(proxies);
         let gap = self.at.map_or(0.0, |at| (now - at).secs().min(1.0));
         self.at = Some(now);
-        if heard < TOLD_FEW || heard * 2 < used {
-            (self.mean, self.admit) = (None, 1.0);
-            return;
+        // A list that came late tells what is past: those that answered here show by how much it is off.
+        let off = if answers.count < ANSWERS_FEW { 1.0 } else { (both.1 + hold) / (both.0 + hold) };
+        let late = !(1.0 / LIST_OFF..LIST_OFF).contains(&off);
+        self.mean = if list.count >= TOLD_FEW && list.count * 2.0 >= used && !late {
+            Some(list.mean())
+        } else if answers.count >= ANSWERS_FEW {
+            Some(answers.mean())
+        } else {
+            None
+        };
+        let Some(mean) = self.mean else { return };
+        (self.heard, self.taken_stock) = (Some(now), gap);
+        if list.count >= TOLD_FEW && list.count * 2.0 >= used && !late {
+            self.learn_part(gap, held * used / list.count, own, f64::from(proxies));
         }
-        let mean = mean / heard as f64;
-        self.mean = Some(mean);
-        self.taken_stock = gap;
-        // What all hold over what this one holds of it; those that said nothing hold as many as the others.
-        let all = held * used as f64 / heard as f64;
+        let busy = |held: f64| held.max(0.1) / (1.0 + held.max(0.1));
+        let step = (busy(hold) / busy(mean)).powf(ADMIT_GAIN * gap);
+        self.admit = (self.admit * step).clamp(ADMIT_LEAST, 1.0);
+    }
+
+    /// What all hold over what this one has there.
+    fn learn_part(&mut self, gap: f64, all: f64, own: Option<f64>, proxies: f64) {
         let fleet = own.filter(|own| *own > 0.0).map_or(proxies, |own| all / own);
         let fleet = fleet.clamp(proxies / PART_MOST, proxies * PART_LEAST).max(1.0);
-        // Own and all are counted over different seconds: a slow mean of the two.
-        let step = 1.0 - (-gap / PART_MEMORY).exp();
+        // Own and all are counted over different seconds: a slow mean of the two, quicker at first.
+        self.learned += gap;
+        let step = 1.0 - (-gap / self.learned.clamp(PART_FIRST, PART_MEMORY)).exp();
         self.fleet *= (fleet / self.fleet).powf(step);
-        let off = ((mean - hold) / hold).clamp(-1.0, 1.0);
-        let pace = if off > 0.0 { ADMIT_DOWN * (1.0 + 2.0 * off) } else { ADMIT_UP };
-        self.admit = (self.admit * (-off * pace * gap).exp()).clamp(ADMIT_LEAST, 1.0);
+    }
+
+    /// Backends have spoken of their load not long ago, even if nothing new is heard just now.
+    pub fn spoken(&self, now: Time) -> bool {
+        self.heard.is_some_and(|at| (now - at).secs() < SPOKEN_FOR)
     }
 
     /// The list says how fast a backend of some kind is.
@@ -218,12 +222,8 @@
     /// what it was seen to bear and at once by what it holds. One that seems idle gets no more for that: it may be
     /// one that nothing comes to.
     pub fn ease(&self, now: Time, p: &Peer) -> f64 {
-        match (self.mean, p.told.bears) {
-            (Some(mean), Some(bears)) => {
-                let held = p.told.fresh(now).unwrap_or(mean);
-                bears * ((1.0 + mean) / (1.0 + held)).clamp(EASE_LEAST, 1.0)
-            }
-            _ => 1.0,
-        }
+        let held = self.mean.and_then(|mean| Some((mean, p.told.fresh(now)?)));
+        let now = held.map_or(1.0, |(mean, held)| ((1.0 + mean) / (1.0 + held)).clamp(EASE_LEAST, 1.0));
+        p.told.bears.unwrap_or(1.0) * now
     }
 }
--- a/crates/balancer/src/rules.rs
+++ b/crates/balancer/src/rules.rs
@@ -7,6 +7,7 @@
 
 use crate::interface::*;
 use crate::loads::Loads;
+use crate::reach::Reach;
 use crate::state::*;
 use shaletide_base::*;
 use std::collections::{BTreeMap, BTreeSet};
@@ -26,11 +27,16 @@
 /// Proxies that share a backend, where there are more: each keeps connections to a slice of the fleet
 /// only, as a backend takes few and each costs it. The load of so many still evens out, to a fifth of one's.
 const SHARED_BY: f64 = 20.0;
+/// ... and where backends say what they hold: each proxy has one request there, so the number is a bound
+/// on what one holds, kept without a word between proxies and below what makes one slow.
+const SHARED_TOLD: f64 = 6.0;
 /// Requests that all proxies together hold on one backend: a shared processor at four fifths of its
 /// capacity holds four on average; more only makes every one of them later.
 const HOLD: f64 = 4.0;
 /// ... and this in the mean of all, where they say what they hold: the fullest hold far more than the mean.
 const HOLD_ALL: f64 = 2.2;
+/// Where they say that they hold little, the own view may be so many times over its limit.
+const SLACK: f64 = 4.0;
 /// Error share from which a backend is ejected: four errors close together reach it. Spoilt answers and
 /// broken connections come from all alike, a few in a hundred: two are chance.
 const ERROR_LIMIT: f64 = 0.3;
@@ -117,7 +123,14 @@
     rate: Rate,
     /// Seconds that this proxy's attempts were out, for each second: its own part of all that is held.
     crowd: Rate,
+    /// Seconds that its served requests took, for each second: by Little's law its part of what boxes hold.
+    served: Rate,
     loads: Loads,
+    reach: Reach,
+    /// The part of the backends in use that it can reach: where a zone is cut off its proxies are too.
+    reached: f64,
+    /// Attempts that are taken for lost where nothing comes back from.
+    lost: u32,
     /// The part of the attempts older than so many usual times that were answered.
     answered: [(f64, Mean); 2],
     /// The error share of the middle one of the backends: what is common to all is no fault of any.
@@ -153,7 +166,11 @@
             attempts: BTreeMap::new(),
             rate: Rate::new(RATE_MEMORY),
             crowd: Rate::new(CROWD_MEMORY),
+            served: Rate::new(CROWD_MEMORY),
             loads: Loads::new(cfg.proxies),
+            reach: Reach::default(),
+            reached: 1.0,
+            lost: 0,
             answered: [LOST_AFTER, SILENT_AFTER].map(|age| (age, Mean { value: 1.0, count: FEW })),
             common: 0.0,
             solve_at: Time(0),
@@ -178,7 +195,7 @@
         ) {
             self.blocked = 0.0; // those make no room, and trying a long line in vain costs too much CPU
         }
-        let out = self.attempts.len() as f64;
+        let out = self.attempts.len().saturating_sub(self.lost as usize) as f64;
         self.crowd.pass(now, out);
         if now >= self.solve_at
             && (matches!(event, Event::Request(_) | Event::HandedOver(..)) || !self.held.is_empty())
@@ -427,13 +444,24 @@
                 _ => {}
             }
         }
+        let many = self.many();
         let Some(p) = self.peers.get_mut(&id) else { return };
+        let word = matches!(end.outcome, Outcome::Ok | Outcome::Error | Outcome::Full);
+        let silence = match end.outcome {
+            Outcome::ConnectFailed => true,
+            Outcome::TimedOut | Outcome::Cancelled => now >= sent + silent && p.answered <= sent,
+            _ => false,
+        };
+        if many && (word || silence) && self.reach.ended(now, self.cfg.zone, &p.entry, silence) {
+            self.solve_at = now;
+        }
         p.out = p.out.saturating_sub(1);
         p.lost = p.lost.saturating_sub(u32::from(now >= sent + quiet));
         match end.outcome {
             Outcome::Ok => {
                 // Served requests only: errors, time-outs and refusals stay out of the speeds.
                 let secs = end.latency.secs().max(1e-6);
+                self.served.add(now, secs);
                 self.classes[class].latency.add(secs, KIND_SAMPLES);
                 self.overall.add(secs, KIND_SAMPLES);
                 let plain = secs * self.overall.value / self.classes[class].latency.value;
@@ -534,10 +562,12 @@
             (p.lost, p.unheard) = (0, 0);
             p.parts.iter_mut().for_each(|part| part.unheard = 0);
         }
+        self.lost = 0;
         for &Flight { to: backend, class, sent } in self.attempts.values() {
             let (lost, silent) = (sent + self.quiet(class), sent + self.usual(class).times(SILENT_AFTER));
             next = [lost, silent].into_iter().filter(|at| *at > now).fold(next, Time::min);
             let Some(p) = self.peers.get_mut(&backend) else { continue };
+            self.lost += u32::from(now >= lost && self.reach.cut(now, p.entry.zone));
             p.lost += u32::from(now >= lost);
             p.unheard += u32::from(now >= silent && p.answered <= sent);
             let part = p.part(class);
@@ -610,7 +640,12 @@
         let few = FEW / self.rate.per_s().unwrap_or(FEW / SOLVE_EVERY).max(1.0);
         self.solve_at = now + Micros::from_secs(SOLVE_EVERY.max(few));
         self.blocked = 0.0;
-        let listed = self.peers.values().filter(|p| p.entry.state == BackendState::Ready);
+        let listed = || self.peers.values().filter(|p| p.entry.state == BackendState::Ready);
+        let reached = listed().filter(|p| !self.reach.cut(now, p.entry.zone)).count() as f64;
+        let heed = reached > 0.0;
+        self.reached = if heed { reached / listed().count() as f64 } else { 1.0 };
+        let cut = |zone| heed && self.reach.cut(now, zone);
+        let listed = listed().filter(|p| !cut(p.entry.zone));
         let (all, out) = listed.fold((0.0, 0.0), |n, p| (n.0 + 1.0, n.1 + f64::from(p.ejected.is_some())));
         let listed = self.peers.values().filter(|p| p.entry.state == BackendState::Ready);
         let mut errors: Vec<f64> = listed.map(|p| p.errors).collect();
@@ -619,14 +654,15 @@
         let middle = errors.get(errors.len().saturating_sub(1) / 2).filter(|_| !self.cfg.spare);
         self.common = middle.copied().unwrap_or(0.0);
         if self.many() {
-            self.loads.take_stock(now, self.peers.values(), self.cfg.proxies, self.crowd.per_s(), HOLD_ALL);
+            self.served.add(now, 0.0);
+            self.loads.take_stock(now, self.peers.values(), self.cfg.proxies, self.served.per_s(), HOLD_ALL);
             self.loads.settle(now, &mut self.peers, HOLD_ALL);
         }
         self.kinds.values_mut().for_each(|k| (k.ready, k.cores) = (0.0, 0.0));
         for p in self.peers.values_mut() {
             let k = self.kinds.entry(p.entry.kind).or_default();
             let health = match p.ejected {
-                _ if p.entry.state != BackendState::Ready => 0.0,
+                _ if p.entry.state != BackendState::Ready || cut(p.entry.zone) => 0.0,
                 Some(_) => f64::from(out > all * PANIC),
                 None => 1.0 - p.errors,
             };
@@ -636,9 +672,9 @@
         }
         self.rate.add(now, 0.0);
         // What is turned away comes to no backend.
-        let carried = self.loads.fleet() * self.loads.admitted(false);
+        let carried = self.loads.fleet() * self.reached * self.loads.admitted(false);
         let rate = self.rate.per_s().map(|r| r * carried);
-        let told = self.loads.mean.is_some();
+        let told = self.loads.spoken(now);
         for k in self.kinds.values_mut() {
             let flow = if k.ready > 0.0 { rate.unwrap_or(0.0) * k.share / k.ready } else { 0.0 };
             k.comes = flow;
@@ -658,13 +694,13 @@
         let rate = if count > 0.0 { rate } else { self.loads.sized().then_some(most) };
         let shares = halb_shares(&table, rate);
         self.kinds.values_mut().zip(shares).for_each(|(k, share)| k.share = share);
-        self.allot();
+        self.allot(now);
     }
 
     /// Each backend's part of this proxy's traffic: its kind's share by readiness. Where crossing zones costs
     /// traffic stays near so far as all proxies together still give every backend the same part: a zone
     /// whose backends are due less than its proxies bring sends its surplus to the zones due more.
-    fn allot(&mut self) {
+    fn allot(&mut self, now: Time) {
         let fleet = self.loads.fleet();
         let part = |kinds: &BTreeMap<KindId, Kind>, p: &Peer| {
             kinds.get(&p.entry.kind).map_or(0.0, |k| k.share * p.ready / k.ready.max(1e-9))
@@ -676,16 +712,14 @@
         let rich: f64 = due.values().map(|d| (d * zones - 1.0).max(0.0)).sum();
         let own = due.get(&self.cfg.zone).copied().unwrap_or(0.0);
         self.kinds.values_mut().for_each(|k| (k.pull, k.walked, k.count) = (0.0, 0.0, 0.0));
+        // Where lists weigh, news is on its way from the start: a zone's clients alone would fill its boxes.
+        let told = self.loads.spoken(now) || self.many() && self.cfg.live_weights;
         let mut reached = 0.0;
         for p in self.peers.values_mut() {
             let here = due.get(&p.entry.zone).map_or(0.0, |d| d.max(1e-9));
             let far = (1.0 - own * zones).max(0.0) * (here * zones - 1.0).max(0.0) / rich.max(1e-9);
             let near = if p.entry.zone == self.cfg.zone { (own * zones).min(1.0) } else { far };
-            let bias = if self.loads.mean.is_none() && self.cfg.cross_zone_cost > 0.0 && here > 0.0 {
-                near / here
-            } else {
-                1.0
-            };
+            let bias = if !told && self.cfg.cross_zone_cost > 0.0 && here > 0.0 { near / here } else { 1.0 };
             // Half of the room for all goes by that part, half evenly; each has a room of one at least, as
             // more proxies than the hold would wait for turns. There `crowded` keeps the hold.
             let turn = p.entry.mark.wrapping_add(u64::from(self.cfg.position));
@@ -698,18 +732,18 @@
             reached += f64::from(drawn > 0.0);
             let k = self.kinds.entry(p.entry.kind).or_default();
             k.pull += p.pull;
-            k.count += 1.0;
+            k.count += f64::from(p.ready > 0.0);
         }
         // This proxy's slice of each kind: the same width for all, begun at evenly spread places, so that all
         // slices together cover every backend by its pull.
-        let width = (SHARED_BY / fleet * self.peers.len() as f64 / reached.max(1.0)).min(1.0);
+        let shared = if told { SHARED_TOLD } else { SHARED_BY };
+        let width = (shared / fleet * self.peers.len() as f64 / reached.max(1.0)).min(1.0);
         let start = (f64::from(self.cfg.position) * 0.618_033_988_749_895).fract();
         for id in &self.order {
             let Some(p) = self.peers.get_mut(id) else { continue };
             let k = self.kinds.entry(p.entry.kind).or_default();
             // Where pulls follow what backends say they move all the time; by count a slice stays.
-            let told = self.loads.mean.is_some();
-            let (pull, all) = if told { (1.0, k.count) } else { (p.pull, k.pull) };
+            let (pull, all) = if told { (f64::from(p.ready > 0.0), k.count) } else { (p.pull, k.pull) };
             let from = k.walked / all.max(1e-9);
             k.walked += pull;
             let to = k.walked / all.max(1e-9);
@@ -813,7 +847,9 @@
         }
         let ready: f64 = self.kinds.values().map(|k| k.cores).sum();
         let limit = if value < LOW { HOLD / 2.0 } else { HOLD * 2.0 };
-        let held = self.crowd.per_s().unwrap_or(0.0) * self.loads.fleet();
+        // What all say they hold goes before the guess that they are like this one.
+        let limit = limit * self.loads.mean.map_or(1.0, |mean| (HOLD_ALL / mean.max(0.1)).clamp(1.0, SLACK));
+        let held = self.crowd.per_s().unwrap_or(0.0) * self.loads.fleet() * self.reached;
         self.many() && held > limit * ready
     }
 
--- a/crates/balancer/src/state.rs
+++ b/crates/balancer/src/state.rs
@@ -1,10 +1,16 @@
 //! What a proxy remembers: running estimates and plain records. No decisions.
 
-use crate::loads::Told;
 use rand_core::{RngCore, SeedableRng};
 use rand_pcg::Pcg32;
 use shaletide_base::*;
 
+/// Memory of what a backend says it holds, s: about as long as one that is too full takes to turn slow.
+const TOLD_MEMORY: f64 = 1.0;
+/// What was said so long ago is worth nothing any more, s: a list did not come. Whoever is cut off hears of nothing.
+const TOLD_WORTH: f64 = 2.2;
+/// More than this is not believed, requests a core: boxes hold some tens at most.
+const TOLD_MOST: f64 = 64.0;
+
 /// The proxy's own random numbers, the same on every machine for the same seed.
 #[derive(Clone, Debug)]
 pub(crate) struct Dice(Pcg32);
@@ -157,6 +163,61 @@
     pub count: f64,
 }
 
+/// What one source last said that a backend holds.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub(crate) struct Said {
+    /// Requests a core, over the last second or so.
+    pub held: f64,
+    /// The same as it was last heard.
+    pub last: f64,
+    at: Option<Time>,
+}
+
+impl Said {
+    /// It says that it holds so many a core.
+    pub fn hear(&mut self, now: Time, held: f64) {
+        if !held.is_finite() || held < 0.0 {
+            return;
+        }
+        // Nothing held, and never anything else said: an old list, or one from before the traffic.
+        if held == 0.0 && self.at.is_none() {
+            return;
+        }
+        let step = self.at.map_or(1.0, |at| 1.0 - (-(now - at).secs() / TOLD_MEMORY).exp());
+        self.last = held.min(TOLD_MOST);
+        self.held += (held.min(TOLD_MOST) - self.held) * step;
+        self.at = Some(now);
+    }
+
+    pub fn fresh(&self, now: Time) -> Option<Said> {
+        self.at.filter(|at| (now - *at).secs() < TOLD_WORTH).map(|_| *self)
+    }
+}
+
+/// What a backend was last heard to hold.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub(crate) struct Told {
+    /// By its own answers, and by the list, which may come late with what is long past.
+    pub answers: Said,
+    pub list: Said,
+    /// How long serving one took there lately, s, and when it said so.
+    pub latency: Option<(f64, Time)>,
+    /// What part of an even share it can bear, as far as what it holds has shown.
+    pub bears: Option<f64>,
+}
+
+impl Told {
+    /// How long serving one took there lately, s, in the mean over all that it served.
+    pub fn latency(&self, now: Time) -> Option<f64> {
+        self.latency.filter(|(_, at)| (now - *at).secs() < TOLD_MEMORY).map(|(secs, _)| secs)
+    }
+
+    /// What it holds, if that is known and not old: its own word before the list's.
+    pub fn fresh(&self, now: Time) -> Option<f64> {
+        self.answers.fresh(now).or(self.list.fresh(now)).map(|said| said.held)
+    }
+}
+
 /// What is known of a backend.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub(crate) struct Peer {
--- /dev/null
+++ b/crates/balancer/tests/zones.rs
@@ -0,0 +1,102 @@
+//! Zones that are cut off, and slices where boxes say what they hold: at the size at which one proxy sees little.
+
+mod common;
+
+use common::*;
+use shaletide_balancer::*;
+
+const OWN: u32 = 0;
+const FAR: u32 = 1;
+
+/// One of a hundred proxies in the own zone, before twenty boxes of each zone.
+fn one_of_a_hundred() -> Host {
+    let cfg = Config { proxies: 100, zone: ZoneId(OWN), ..Config::example() };
+    let mut host = Host::new(cfg, 7);
+    host.members(ListUpdate::Full, (0..40).map(|id| backend(id, id % 2, 0)).collect());
+    host
+}
+
+/// Requests, one each 20 ms, with the given end of an attempt at a box; how many attempts went to the far zone.
+fn ask(host: &mut Host, count: usize, end: impl Fn(&Backend) -> Outcome) -> usize {
+    let mut far = 0;
+    for _ in 0..count {
+        let id = host.arrive(0, 900_000);
+        for no in 0..host.cfg.max_attempts as usize {
+            let Some(to) = host.sent_to(id).get(no).copied() else { break };
+            let to = host.list[&BackendId(to)].clone();
+            far += usize::from(to.zone == ZoneId(FAR));
+            host.advance(5_000);
+            host.end(id, no, end(&to));
+        }
+        host.advance(20_000);
+    }
+    far
+}
+
+fn cut(to: &Backend) -> Outcome {
+    if to.zone == ZoneId(FAR) {
+        Outcome::ConnectFailed
+    } else {
+        Outcome::Ok
+    }
+}
+
+#[test]
+fn a_zone_that_is_cut_off_is_left_as_a_whole_and_asked_again() {
+    let mut host = one_of_a_hundred();
+    assert!(ask(&mut host, 60, |_| Outcome::Ok) > 10, "the far zone is in use");
+    // Each of its boxes would cost four attempts before it is ejected: eighty.
+    let lost = ask(&mut host, 200, cut);
+    assert!((4..=30).contains(&lost), "{lost} attempts to a zone that is cut off");
+    host.advance(4_000_000);
+    assert!(ask(&mut host, 100, |_| Outcome::Ok) > 10, "the far zone is in use again");
+}
+
+#[test]
+fn one_dead_box_is_no_zone_that_is_cut_off() {
+    let mut host = one_of_a_hundred();
+    ask(&mut host, 60, |_| Outcome::Ok);
+    let before = ask(&mut host, 100, |_| Outcome::Ok);
+    let mut dead = None;
+    for id in (0..40).filter(|id| id % 2 == FAR) {
+        dead = dead.or(Some(BackendId(id)));
+    }
+    let after =
+        ask(&mut host, 100, |to| if Some(to.id) == dead { Outcome::ConnectFailed } else { Outcome::Ok });
+    assert!(after * 2 > before, "{after} attempts to the far zone, {before} before");
+}
+
+#[test]
+fn where_nothing_comes_back_from_anywhere_no_zone_is_left() {
+    let mut host = one_of_a_hundred();
+    ask(&mut host, 60, |_| Outcome::Ok);
+    let far = ask(&mut host, 40, |_| Outcome::ConnectFailed);
+    assert!(far > 10, "{far} attempts to the far zone");
+}
+
+/// A box's room is kept by how many proxies use it: with six each, and one request of each, it never turns slow.
+#[test]
+fn where_boxes_say_what_they_hold_few_proxies_share_one_and_all_are_covered() {
+    let (proxies, boxes) = (300, 60);
+    let (mut users, mut pairs) = (vec![0; boxes as usize], 0);
+    for position in 0..proxies {
+        let cfg = Config { proxies, position, live_weights: true, ..Config::example() };
+        let mut host = Host::new(cfg, u64::from(position));
+        let list = |weight| {
+            (0..boxes).map(move |id| Backend { weight, ..backend(id, id % 3, 0) }).collect::<Vec<_>>()
+        };
+        host.members(ListUpdate::Full, list(1_000));
+        let mut used = std::collections::BTreeSet::new();
+        for round in 0..24 {
+            // One held, of a thousandth each: the list speaks.
+            host.members(ListUpdate::Changes, list(500 + round % 2));
+            let id = host.arrive(0, 900_000);
+            used.extend(host.sent_to(id));
+            host.serve_all(10_000);
+        }
+        pairs += used.len();
+        used.into_iter().for_each(|id| users[id as usize] += 1);
+    }
+    assert!(pairs < 3 * proxies as usize, "{pairs} pairs of a proxy and a box: 360 and the edges would do");
+    assert!(users.iter().all(|n| (3..=20).contains(n)), "some six each expected: {users:?}");
+}
