The lab's samples and the doors of its judge

A run of many real processes leaves one JSON line for each thing seen; the judge reads these alone. A line has at most 64 KiB and a run at most 4,000,000 samples; what is no sample is a typed error with its line.

--- /dev/null
+++ b/crates/lab/src/compare.rs
@@ -0,0 +1,1 @@
+//! Sets runs beside each other: over seeds, and in pairs.
--- /dev/null
+++ b/crates/lab/src/samples.rs
@@ -0,0 +1,492 @@
+//! What a run of the lab leaves behind: one sample a line, as JSON, in no promised order. Times are microseconds since
+//! the run's start, by the lab's one clock.
+//!
+//! Written by whatever ran the experiment, read by [`crate::judge`] and [`crate::report`]. Bounded: a line has at most
+//! [`MAX_LINE`] bytes and a run at most [`MAX_SAMPLES`] samples; a run that would leave more is void.
+
+use serde::{Deserialize, Serialize};
+use std::fmt;
+use std::io::{self, BufRead, Read, Write};
+
+/// Bytes of a line at most, its end not counted.
+pub const MAX_LINE: usize = 64 * 1024;
+
+/// Samples of a run at most. One takes about 200 bytes of memory: 800 MB in all.
+pub const MAX_SAMPLES: usize = 4_000_000;
+
+/// What a second run of a request would do.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Effect {
+    /// Nothing.
+    Safe,
+    /// Nothing, where its key is known: within its bay and window.
+    Keyed,
+    /// Harm.
+    Unsafe,
+}
+
+/// A class of requests: its place in [`Sample::Run`] is its number.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct ClassInfo {
+    /// Its name.
+    pub name: String,
+    /// What a second run would do.
+    pub effect: Effect,
+    /// The time within which a proxy must answer, as its file says.
+    pub deadline_us: u64,
+    /// The latency that it should keep.
+    pub aim_us: u64,
+    /// What one that is served is worth, against one of another class.
+    pub worth: f64,
+    /// How long a key is known to its bay; 0 where it brings none.
+    #[serde(default)]
+    pub window_us: u64,
+}
+
+/// What a box can do, as in [`shaletide_testkit::Power`].
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+pub struct PowerInfo {
+    /// Cores.
+    pub cores: u32,
+    /// Work done in a second by a warm core, in seconds of a standard core.
+    pub speed: f64,
+    /// The part of its speed that it begins with when it is cold.
+    pub cold_from: f64,
+    /// How long it takes to be warm.
+    pub ramp_us: u64,
+}
+
+/// Something that happened to a proxy's process.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+#[non_exhaustive]
+pub enum ProcessEvent {
+    /// It was started.
+    Started,
+    /// It said that it is ready.
+    Ready,
+    /// It was sent `SIGKILL`.
+    Killed,
+    /// It was sent `SIGTERM`.
+    Termed,
+    /// It was sent `SIGSTOP`.
+    Stopped,
+    /// It was sent `SIGCONT`.
+    Continued,
+    /// It was seen to have ended.
+    Exited {
+        /// Its exit code; none after a signal.
+        code: Option<i32>,
+    },
+    /// It was told to read its file anew.
+    Reloaded,
+}
+
+/// How a try ended for its client.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(tag = "how", rename_all = "snake_case")]
+#[non_exhaustive]
+pub enum TryEnd {
+    /// A whole answer with status 200.
+    Served,
+    /// Turned away, as never run: 429 or 503.
+    Refused {
+        /// The answer's status.
+        status: u16,
+    },
+    /// Any other whole answer.
+    Failed {
+        /// The answer's status.
+        status: u16,
+    },
+    /// The connection ended without a whole answer.
+    Broken,
+    /// Time was up without a whole answer.
+    Silent,
+    /// No proxy took the connection.
+    NotTaken,
+}
+
+impl TryEnd {
+    /// Whether a whole answer came, good or bad.
+    pub fn answered(self) -> bool {
+        matches!(self, TryEnd::Served | TryEnd::Refused { .. } | TryEnd::Failed { .. })
+    }
+}
+
+/// How a request ended at a box, as in [`shaletide_testkit::Ended`].
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+#[non_exhaustive]
+pub enum BoxEnd {
+    /// Its answer was written whole.
+    Served,
+    /// Not taken. The one end that proves that it never ran.
+    TurnedAway,
+    /// Answered 500.
+    Failed,
+    /// Its sender went away first.
+    Cancelled,
+    /// Never answered.
+    Hung,
+    /// Its connection was reset.
+    Reset,
+    /// Other bytes than an answer were sent.
+    Spoilt,
+    /// The box died over it.
+    BoxDied,
+    /// Still open at the run's end.
+    Open,
+}
+
+impl BoxEnd {
+    /// Whether it ran, or may have.
+    pub fn ran(self) -> bool {
+        self != BoxEnd::TurnedAway
+    }
+}
+
+/// The parts that a fault is done to. All empty: it says nothing of them.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(default)]
+pub struct Touched {
+    /// Proxies by number.
+    pub proxies: Vec<u32>,
+    /// Boxes by number.
+    pub boxes: Vec<u32>,
+    /// Links by name.
+    pub links: Vec<String>,
+    /// The list service.
+    pub list: bool,
+    /// Proxies whose way to and from their clients is cut or spoilt: what they do not answer is not held against them.
+    pub clients_of: Vec<u32>,
+}
+
+/// One thing that was seen.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(tag = "type", rename_all = "snake_case")]
+#[non_exhaustive]
+pub enum Sample {
+    /// What was run. Once, first.
+    Run {
+        /// The experiment's name.
+        name: String,
+        /// What every die of the run was seeded with.
+        seed: u64,
+        /// Proxies, numbered from 0.
+        proxies: u32,
+        /// Boxes, numbered from 0.
+        boxes: u32,
+        /// The classes, by number.
+        classes: Vec<ClassInfo>,
+        /// Cores of the machine.
+        cores: u32,
+        /// What was built: version and profile.
+        build: String,
+        /// The command that repeats the run.
+        #[serde(default)]
+        command: String,
+        /// Names of the zones, by number.
+        #[serde(default)]
+        zones: Vec<String>,
+        /// How long the experiment lasts; 0 where it is not known.
+        #[serde(default)]
+        lasts_us: u64,
+    },
+    /// A box. Once each.
+    Box {
+        /// Its number.
+        at_box: u32,
+        /// Its name, as lists give it.
+        name: String,
+        /// Boxes of one bay share the keys that they have seen.
+        bay: u32,
+        /// Its kind, as the experiment names it.
+        kind: String,
+        /// Its zone.
+        zone: u32,
+        /// What it can do; without it, a cold box that is pushed over is not seen.
+        #[serde(default)]
+        power: Option<PowerInfo>,
+    },
+    /// A start of a box. The first start of a box that was there before the run need not be told.
+    Boot {
+        /// The box.
+        at_box: u32,
+        /// Which of its starts, from 0.
+        boot: u32,
+        /// When; none is before the run, long enough ago to be warm.
+        at_us: Option<u64>,
+        /// When it died, if it did.
+        #[serde(default)]
+        died_us: Option<u64>,
+    },
+    /// Something happened to a proxy's process.
+    Process {
+        /// When.
+        at_us: u64,
+        /// Which.
+        proxy: u32,
+        /// What.
+        what: ProcessEvent,
+    },
+    /// A step of the timeline that service may feel.
+    Fault {
+        /// When it was done.
+        at_us: u64,
+        /// Its name in the experiment: no two share one.
+        label: String,
+        /// When it is taken back, if it is.
+        ends_us: Option<u64>,
+        /// What it is done to.
+        #[serde(default)]
+        touches: Touched,
+    },
+    /// A try of a request by its client, when it is over.
+    Try {
+        /// The request: the number of its first try. No two requests share one.
+        request: u64,
+        /// Which try of it, from 0.
+        nth: u8,
+        /// What it was named to proxy and box. No two tries share one.
+        id: String,
+        /// Its class.
+        class: u32,
+        /// Its tenant, if it has one.
+        tenant: Option<u32>,
+        /// The zone of its client.
+        zone: u32,
+        /// The proxy that its connection led to, if one took it.
+        proxy: Option<u32>,
+        /// When the client had it to send: open loop, waiting before sending counts.
+        asked_us: u64,
+        /// When it was over.
+        ended_us: u64,
+        /// Until when an answer is of use.
+        deadline_us: u64,
+        /// How it ended.
+        end: TryEnd,
+    },
+    /// A request at a box, in the account of the box.
+    BoxRun {
+        /// The box.
+        at_box: u32,
+        /// Which of its starts, from 0.
+        boot: u32,
+        /// The id that it came with; empty where it came with none, as probes do.
+        id: String,
+        /// Its key, if it has one.
+        key: Option<String>,
+        /// Its class.
+        class: u32,
+        /// When its first byte came, where that is known.
+        #[serde(default)]
+        came_us: Option<u64>,
+        /// When it came whole.
+        began_us: u64,
+        /// When it was over; none while it is open.
+        ended_us: Option<u64>,
+        /// How it ended.
+        end: BoxEnd,
+        /// Since when the box drained, if it did.
+        draining_since_us: Option<u64>,
+        /// Work that it brought, ms of a standard core.
+        work_ms: f64,
+    },
+    /// A second at a box.
+    BoxSecond {
+        /// The second's begin.
+        at_us: u64,
+        /// The box.
+        at_box: u32,
+        /// Connections open at its end.
+        open: u32,
+        /// Connections begun in it.
+        handshakes: u32,
+        /// Requests that came in it.
+        requests: u32,
+    },
+    /// A second at the list service.
+    ListSecond {
+        /// The second's begin.
+        at_us: u64,
+        /// Calls in it.
+        calls: u32,
+    },
+    /// A proxy was given a list that says so of a box.
+    Told {
+        /// When.
+        at_us: u64,
+        /// Which proxy.
+        proxy: u32,
+        /// Which box.
+        at_box: u32,
+        /// `draining`, `gone`, or `serving` where it is back.
+        state: String,
+    },
+    /// A second of a link.
+    LinkSecond {
+        /// The second's begin.
+        at_us: u64,
+        /// Its name.
+        link: String,
+        /// Bytes that came out of it.
+        passed_bytes: u64,
+        /// Those of them that came out in a direction that was cut.
+        passed_while_cut: u64,
+    },
+    /// A second of the lab itself.
+    Lab {
+        /// The second's begin.
+        at_us: u64,
+        /// How late its own pacing ran at worst.
+        late_us: u64,
+        /// Processor time that the lab took in it.
+        cpu_ms: u64,
+        /// Processor time that the proxies took in it, all together.
+        fleet_cpu_ms: u64,
+    },
+    /// What the clients counted by themselves, apart from their tries. At most once, at the end.
+    Totals {
+        /// Tries that were over.
+        tries: u64,
+        /// Those served.
+        served: u64,
+        /// Those refused.
+        refused: u64,
+    },
+    /// A line of a proxy's log.
+    Log {
+        /// When it was read.
+        at_us: u64,
+        /// Which proxy.
+        proxy: u32,
+        /// The line.
+        line: String,
+    },
+    /// Why the run says nothing.
+    Void {
+        /// In words.
+        reason: String,
+    },
+}
+
+impl Sample {
+    /// When it was over, or when it was seen; none for what has no time.
+    pub fn at_us(&self) -> Option<u64> {
+        match self {
+            Sample::Process { at_us, .. }
+            | Sample::Fault { at_us, .. }
+            | Sample::BoxSecond { at_us, .. }
+            | Sample::ListSecond { at_us, .. }
+            | Sample::Told { at_us, .. }
+            | Sample::LinkSecond { at_us, .. }
+            | Sample::Lab { at_us, .. }
+            | Sample::Log { at_us, .. } => Some(*at_us),
+            Sample::Try { ended_us, .. } => Some(*ended_us),
+            Sample::BoxRun { began_us, ended_us, .. } => Some(ended_us.unwrap_or(*began_us)),
+            Sample::Boot { at_us, .. } => *at_us,
+            Sample::Run { .. } | Sample::Box { .. } | Sample::Totals { .. } | Sample::Void { .. } => None,
+        }
+    }
+}
+
+/// Why samples could not be read or written.
+#[derive(Debug)]
+#[non_exhaustive]
+pub enum SamplesError {
+    /// The file or stream failed.
+    Io(io::Error),
+    /// A line is longer than [`MAX_LINE`].
+    TooLong {
+        /// Its number, from 1.
+        line: usize,
+    },
+    /// There are more than [`MAX_SAMPLES`].
+    TooMany,
+    /// A line is no sample.
+    Malformed {
+        /// Its number, from 1.
+        line: usize,
+        /// Why not.
+        cause: serde_json::Error,
+    },
+    /// A sample cannot be written as JSON.
+    Unwritable(serde_json::Error),
+}
+
+impl fmt::Display for SamplesError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            SamplesError::Io(_) => write!(f, "samples could not be read or written"),
+            SamplesError::TooLong { line } => write!(f, "line {line} has more than {MAX_LINE} bytes"),
+            SamplesError::TooMany => write!(f, "more than {MAX_SAMPLES} samples"),
+            SamplesError::Malformed { line, .. } => write!(f, "line {line} is no sample"),
+            SamplesError::Unwritable(_) => write!(f, "a sample cannot be written"),
+        }
+    }
+}
+
+impl std::error::Error for SamplesError {
+    fn source(&self) -> Option<&(dyn std::error::Error + 'static)> {
+        match self {
+            SamplesError::Io(cause) => Some(cause),
+            SamplesError::Malformed { cause, .. } | SamplesError::Unwritable(cause) => Some(cause),
+            SamplesError::TooLong { .. } | SamplesError::TooMany => None,
+        }
+    }
+}
+
+impl From<io::Error> for SamplesError {
+    fn from(cause: io::Error) -> SamplesError {
+        SamplesError::Io(cause)
+    }
+}
+
+/// Reads samples, one a line; empty lines are passed over.
+///
+/// # Errors
+/// The first line that is too long, one too many or no sample; nothing is returned of those before it.
+pub fn read(mut from: impl BufRead) -> Result<Vec<Sample>, SamplesError> {
+    let (mut samples, mut line, mut number) = (Vec::new(), Vec::new(), 0);
+    loop {
+        line.clear();
+        number += 1;
+        if (&mut from).take(MAX_LINE as u64 + 2).read_until(b'\n', &mut line)? == 0 {
+            return Ok(samples);
+        }
+        let text = line.strip_suffix(b"\n").unwrap_or(&line);
+        let text = text.strip_suffix(b"\r").unwrap_or(text);
+        if text.len() > MAX_LINE {
+            return Err(SamplesError::TooLong { line: number });
+        }
+        if text.is_empty() {
+            continue;
+        }
+        if samples.len() == MAX_SAMPLES {
+            return Err(SamplesError::TooMany);
+        }
+        let sample = serde_json::from_slice(text);
+        samples.push(sample.map_err(|cause| SamplesError::Malformed { line: number, cause })?);
+    }
+}
+
+/// Writes samples, one a line.
+///
+/// # Errors
+/// The stream failed, or a sample would take more than [`MAX_LINE`] bytes; the lines before it are written.
+pub fn write(mut to: impl Write, samples: &[Sample]) -> Result<(), SamplesError> {
+    if samples.len() > MAX_SAMPLES {
+        return Err(SamplesError::TooMany);
+    }
+    for (place, sample) in samples.iter().enumerate() {
+        let mut line = serde_json::to_vec(sample).map_err(SamplesError::Unwritable)?;
+        if line.len() > MAX_LINE {
+            return Err(SamplesError::TooLong { line: place + 1 });
+        }
+        line.push(b'\n');
+        to.write_all(&line)?;
+    }
+    Ok(to.flush()?)
+}
