The lab reads experiments and guards the program's processes

A run needs many real processes that end with it however it ends, and a file whose mistakes are all shown at once. The list server tells each watcher addresses of its own and counts calls; the pacer and a kept connection of the load's are for others to use.

--- /dev/null
+++ b/crates/lab/src/experiment/steps.rs
@@ -0,0 +1,270 @@
+//! The timeline: `[[at]]`, one step each.
+
+use super::groups::{Groups, Members};
+use super::reader::Table;
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+/// A signal to a process.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Signal {
+    /// It ends at once.
+    Kill,
+    /// It is asked to end.
+    Term,
+    /// It stands still.
+    Stop,
+    /// It goes on.
+    Continue,
+}
+
+/// The list service's state.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ListState {
+    /// It answers.
+    Up,
+    /// Its connections end without an answer.
+    Down,
+    /// It reads and does not answer.
+    Silent,
+    /// It answers as things were: changes are held back until it is up.
+    Frozen,
+    /// Changes reach it so much later.
+    Late(Duration),
+}
+
+/// What boxes do instead of their work.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum BoxFault {
+    /// Work takes so many times as long.
+    Slow(f64),
+    /// This part of the requests is never answered.
+    Silent(f64),
+    /// This part of the requests gets 500 at once.
+    Fail(f64),
+    /// Everything is as usual again.
+    Well,
+}
+
+/// What is wrong with links between two groups.
+#[derive(Clone, Debug, PartialEq)]
+pub struct LinkFault {
+    /// Nothing passes: with connections reset (`true`), or in silence.
+    pub cut: Option<bool>,
+    /// Only from the first group to the second, only back, or both ways.
+    pub forth: bool,
+    /// See `forth`.
+    pub back: bool,
+    /// Added delay, ms.
+    pub delay_ms: f64,
+    /// Chance of a chunk that waits as for a retransmission.
+    pub loss: f64,
+    /// Bytes a second.
+    pub rate: Option<u64>,
+    /// It lies between the front and proxies.
+    pub front: bool,
+    /// It lies between proxies and the list service.
+    pub list: bool,
+}
+
+/// What a step does.
+#[derive(Clone, Debug, PartialEq)]
+pub enum What {
+    /// Signals processes.
+    Signal(Signal),
+    /// Starts processes that are down, with their directories or without.
+    Start {
+        /// What they left there is gone.
+        fresh: bool,
+    },
+    /// Ends processes and starts them again.
+    Restart {
+        /// By asking them to; else by killing.
+        term: bool,
+        /// So long after that.
+        down: Duration,
+        /// What they left there is gone.
+        fresh: bool,
+    },
+    /// Has processes read their files again, with that much more in them.
+    Reload {
+        /// In place of the fleet's `more`.
+        more: String,
+    },
+    /// Puts a fault between the proxies and boxes of `who` ... and `to`.
+    Links {
+        /// The fault, or a clean link.
+        fault: LinkFault,
+        /// The proxies that it is between ...
+        proxies: Vec<usize>,
+        /// ... and these boxes.
+        boxes: Vec<usize>,
+    },
+    /// Changes the list service.
+    List(ListState),
+    /// Boxes drain: the list says so, and so do they.
+    Drain,
+    /// Boxes die.
+    KillBoxes,
+    /// Boxes that died start again, cold, and are listed.
+    StartBoxes,
+    /// Each box drains and a new one, cold, stands in for it.
+    Replace {
+        /// The old one ends so long after.
+        down: Duration,
+    },
+    /// Boxes do something else than their work.
+    Boxes(BoxFault),
+    /// So many times the usual requests.
+    Burst(f64),
+}
+
+/// A step of the timeline.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Step {
+    /// When, from the first request on.
+    pub at: Duration,
+    /// Its name; no two steps share one.
+    pub label: String,
+    /// What it does.
+    pub what: What,
+    /// To which proxies.
+    pub proxies: Vec<usize>,
+    /// To which boxes.
+    pub boxes: Vec<usize>,
+    /// Evenly over so long, one after the other.
+    pub over: Duration,
+    /// It is taken back after so long.
+    pub lasts: Option<Duration>,
+    /// Service may feel it: it is marked as a fault.
+    pub fault: bool,
+}
+
+const WORDS: [&str; 19] = [
+    "kill", "term", "stop", "cont", "start", "restart", "reload", "cut", "heal", "list", "drain", "kill-boxes",
+    "start-boxes", "replace", "slow", "silent", "fail", "well", "burst",
+];
+
+pub(super) fn read(root: &Table<'_>, groups: &Groups, length: Duration) -> Vec<Step> {
+    let mut labels = BTreeSet::new();
+    let read = |table: &Table<'_>| {
+        let step = step(table, groups, length);
+        if !labels.insert(step.label.clone()) {
+            let what = format!("two steps are labelled \"{}\"", step.label);
+            table.wrong(table.at.clone(), what, "expected a `label` of its own for each");
+        }
+        table.end();
+        step
+    };
+    root.tables("at").iter().map(read).collect()
+}
+
+fn step(table: &Table<'_>, groups: &Groups, length: Duration) -> Step {
+    let at = table.time_needed("at", (0.0, length.as_secs_f64()));
+    let word = table.word_needed("do", &WORDS);
+    let who = table.names("who");
+    let members = groups.all(table, &who);
+    let over = table.time_or("over", (0.0, 3600.0), 0.0);
+    let what = what(table, groups, word, &members);
+    let lasts = lasting(word).then(|| table.time("lasts", Duration::from_millis(1)..=Duration::from_secs(3600)));
+    check_who(table, word, &members, !who.is_empty());
+    let named = who.iter().map(|(name, _)| name.as_str()).collect::<Vec<_>>().join(",");
+    let label = table.text("label").filter(|l| !l.is_empty());
+    let label = label.unwrap_or_else(|| format!("{word} {named} at {}s", at.as_secs_f64()));
+    let fault = !matches!(word, "start" | "cont" | "heal" | "well" | "start-boxes" | "reload")
+        && what != What::List(ListState::Up);
+    let (proxies, boxes) = (members.proxies, members.boxes);
+    Step { at, label, what, proxies, boxes, over, lasts: lasts.flatten(), fault }
+}
+
+/// Whether a step of that word can be taken back by itself.
+fn lasting(word: &str) -> bool {
+    matches!(word, "stop" | "cut" | "list" | "slow" | "silent" | "fail" | "burst")
+}
+
+fn check_who(table: &Table<'_>, word: &str, members: &Members, named: bool) {
+    let (needs_proxies, needs_boxes) = match word {
+        "kill" | "term" | "stop" | "cont" | "start" | "restart" | "reload" => (true, false),
+        "drain" | "kill-boxes" | "start-boxes" | "replace" | "slow" | "silent" | "fail" | "well" => (false, true),
+        _ => (false, false),
+    };
+    let lacks = needs_proxies && members.proxies.is_empty() || needs_boxes && members.boxes.is_empty();
+    if lacks {
+        let whom = if needs_proxies { "proxies" } else { "boxes" };
+        let at = table.place("who").unwrap_or_else(|| table.at.clone());
+        let what = if named { format!("{word}: `who` names no {whom}") } else { "at.who is missing".into() };
+        table.wrong(at, what, format!("expected {whom}, such as \"{whom}\""));
+    }
+}
+
+fn what(table: &Table<'_>, groups: &Groups, word: &str, members: &Members) -> What {
+    let fresh = |table: &Table<'_>| table.word("directory", &["kept", "fresh"]) == Some("fresh");
+    match word {
+        "kill" => What::Signal(Signal::Kill),
+        "term" => What::Signal(Signal::Term),
+        "stop" => What::Signal(Signal::Stop),
+        "cont" => What::Signal(Signal::Continue),
+        "start" => What::Start { fresh: fresh(table) },
+        "restart" => What::Restart {
+            term: table.word("by", &["kill", "term"]) != Some("kill"),
+            down: table.time_or("down", (0.0, 3600.0), 0.5),
+            fresh: fresh(table),
+        },
+        "reload" => What::Reload { more: table.text("more").unwrap_or_default() },
+        "cut" | "heal" => links(table, groups, word, members),
+        "list" => What::List(list(table)),
+        "drain" => What::Drain,
+        "kill-boxes" => What::KillBoxes,
+        "start-boxes" => What::StartBoxes,
+        "replace" => What::Replace { down: table.time_or("down", (0.0, 3600.0), 3.0) },
+        "slow" => What::Boxes(BoxFault::Slow(table.number_or("times", (0.01, 10_000.0), 5.0))),
+        "silent" => What::Boxes(BoxFault::Silent(table.number_or("part", (0.0, 1.0), 1.0))),
+        "fail" => What::Boxes(BoxFault::Fail(table.number_or("part", (0.0, 1.0), 1.0))),
+        "burst" => What::Burst(table.number_or("times", (0.0, 100.0), 2.0)),
+        _ => What::Boxes(BoxFault::Well),
+    }
+}
+
+fn list(table: &Table<'_>) -> ListState {
+    match table.word_needed("state", &["up", "down", "silent", "frozen", "late"]) {
+        "down" => ListState::Down,
+        "silent" => ListState::Silent,
+        "frozen" => ListState::Frozen,
+        "late" => ListState::Late(table.time_or("by", (0.0, 600.0), 5.0)),
+        _ => ListState::Up,
+    }
+}
+
+/// `who` is on the side that opens connections; `to` is what these lead to: boxes, `list`, or, for `front`, proxies.
+fn links(table: &Table<'_>, groups: &Groups, word: &str, members: &Members) -> What {
+    let from_front = table.word("from", &["proxies", "front"]) == Some("front");
+    let to = table.names("to");
+    let list = to.iter().any(|(name, _)| name == "list");
+    let others: Vec<_> = to.iter().filter(|(name, _)| name != "list").cloned().collect();
+    let found = groups.all(table, &others);
+    let way = if word == "cut" { table.word("way", &["both", "forth", "back"]) } else { None };
+    let how = if word == "cut" { table.word("how", &["silent", "reset", "none"]) } else { Some("none") };
+    let fault = LinkFault {
+        cut: match how {
+            Some("none") => None,
+            Some("reset") => Some(true),
+            _ => Some(false),
+        },
+        forth: way != Some("back"),
+        back: way != Some("forth"),
+        delay_ms: if word == "cut" { table.number_or("delay_ms", (0.0, 60_000.0), 0.0) } else { 0.0 },
+        loss: if word == "cut" { table.number_or("loss", (0.0, 1.0), 0.0) } else { 0.0 },
+        rate: if word == "cut" { table.whole("rate", (1, 1 << 40)) } else { None },
+        front: from_front,
+        list,
+    };
+    if members.proxies.is_empty() {
+        let at = table.place("who").unwrap_or_else(|| table.at.clone());
+        table.wrong(at, format!("{word}: `who` names no proxies"), "expected proxies, such as \"proxies\"");
+    }
+    if !from_front && !list && found.boxes.is_empty() {
+        let at = table.place("to").unwrap_or_else(|| table.at.clone());
+        table.wrong(at, format!("{word}: `to` names no boxes"), "expected boxes, such as \"boxes\", or \"list\"");
+    }
+    What::Links { fault, proxies: members.proxies.clone(), boxes: found.boxes }
+}
--- /dev/null
+++ b/crates/lab/src/fleet/files.rs
@@ -0,0 +1,75 @@
+//! The operators' file of each proxy. Pure.
+
+use crate::experiment::{ClassPart, Experiment};
+use crate::samples::Effect;
+use shaletide_testkit::Dice;
+use std::fmt::Write;
+use std::net::SocketAddr;
+
+/// What a proxy's file says that differs from the others'.
+#[derive(Clone, Copy, Debug)]
+pub struct Own {
+    /// Its number.
+    pub proxy: usize,
+    /// Where it listens.
+    pub listens: SocketAddr,
+    /// Where it asks for the list.
+    pub list: SocketAddr,
+    /// The run's seed.
+    pub seed: u64,
+}
+
+/// The text of a proxy's file, with `more` behind it. Sections that `more` has itself are left to it.
+pub fn operator(experiment: &Experiment, own: Own, more: &str) -> String {
+    let mut text = String::new();
+    let seed = Dice::of(own.seed, &format!("p{}", own.proxy)).word();
+    let zone = &experiment.fleet.zones[experiment.zone_of_proxy(own.proxy)];
+    let _ = write!(
+        text,
+        "[proxy]\nname = \"p{}\"\nzone = \"{zone}\"\nproxies = {}\nposition = {}\nseed = \"{seed:016x}\"\n\n\
+         [[listener]]\naddress = \"{}\"\n\n",
+        own.proxy, experiment.fleet.proxies, own.proxy, own.listens
+    );
+    let absent = |section: &str| !more.lines().any(|line| line.trim() == section);
+    if absent("[limits]") {
+        let _ = write!(text, "[limits]\ndescriptors = {}\n\n", experiment.fleet.descriptors);
+    }
+    if absent("[rules]") {
+        let (cold, ramp) = (experiment.boxes.cold_from, experiment.boxes.ramp.as_micros());
+        let _ = write!(text, "[rules]\ncold_from = {cold:?}\nramp = \"{ramp}us\"\n\n");
+    }
+    if absent("[answers]") {
+        text += "[answers]\nserved = [\"200-299\", 404]\nnever_ran = [\n  { status = 503, header = \"X-Unprocessed\", value = \"1\" },\n  \
+                 { status = 504, header = \"X-Unprocessed\", value = \"1\" },\n]\n\n";
+    }
+    experiment.classes.iter().for_each(|c| text += &class(c));
+    for tenant in &experiment.tenants {
+        let _ = write!(text, "[[tenant]]\nname = \"{}\"\nquota = {:?}\n\n", tenant.name, tenant.quota);
+    }
+    if absent("[[pool]]") {
+        let mode = if experiment.list.push { "push" } else { "subscribe" };
+        let at = own.list;
+        let _ = write!(text, "[[pool]]\nname = \"boxes\"\ndiscovery = \"{at}\"\ndiscovery_mode = \"{mode}\"\n\n");
+    }
+    let more = more.replace("@LIST@", &own.list.to_string());
+    text + &more
+}
+
+fn class(class: &ClassPart) -> String {
+    let (name, effect) = (&class.name, class.effect);
+    let word = match effect {
+        Effect::Safe => "safe",
+        Effect::Keyed => "keyed",
+        Effect::Unsafe => "unsafe",
+    };
+    let mut text = format!(
+        "[[class]]\nname = \"{name}\"\neffect = \"{word}\"\naim = \"{}us\"\ndeadline = \"{}us\"\nworth = {:?}\n",
+        class.aim.as_micros(),
+        class.deadline.as_micros(),
+        class.worth
+    );
+    if effect == Effect::Keyed {
+        let _ = writeln!(text, "key_scope = \"bay\"\nkey_window = \"{}us\"", class.key_window.as_micros());
+    }
+    text + "\n"
+}
--- /dev/null
+++ b/crates/lab/src/fleet/mod.rs
@@ -0,0 +1,293 @@
+//! The proxies: real processes, each under a guard, with an address, a directory and a log of its own. They are
+//! started, signalled and looked at from one thread; all end when [`Processes`] is dropped, and with the lab's own
+//! process however that ends.
+
+mod files;
+pub mod guard;
+mod place;
+mod process;
+mod ready;
+
+pub use files::{operator, Own};
+pub use place::{Addresses, Door};
+pub use process::{runs, MAX_LOG_LINE, MAX_LOG_LINES};
+pub use ready::is_ready;
+
+use crate::experiment::Signal;
+use crate::samples::ProcessEvent;
+use process::{Heard, Launch, Process};
+use std::fs;
+use std::io;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::sync::atomic::{AtomicU32, Ordering};
+use std::sync::mpsc::{self, Receiver, Sender};
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+/// A guard has so long to end what it guards.
+const PATIENCE: Duration = Duration::from_secs(5);
+
+/// What is heard of a process.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Word {
+    /// Its number.
+    Pid(u32),
+    /// It is ready.
+    Ready,
+    /// It ended, with a code or by a signal.
+    Exited(Option<i32>),
+    /// A line of its log.
+    Log(String),
+}
+
+/// Something that happened.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Seen {
+    /// To a process.
+    Process(ProcessEvent),
+    /// It said that.
+    Log(String),
+}
+
+/// One proxy, up or down.
+#[derive(Debug)]
+struct Proxy {
+    door: Door,
+    directory: PathBuf,
+    /// The text of its file.
+    file: String,
+    process: Option<Process>,
+    /// Counts its lives: threads that watch one end with it.
+    lives: Arc<AtomicU32>,
+    ready: bool,
+    /// It is to start as soon as it is down.
+    wanted: Option<Start>,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Start {
+    fresh: bool,
+}
+
+/// How the program is run.
+#[derive(Clone, Debug)]
+pub struct Settings {
+    /// The lab's own program: the guards.
+    pub lab: PathBuf,
+    /// The program.
+    pub program: PathBuf,
+    /// File descriptors of each process.
+    pub descriptors: u64,
+    /// One that was told to end and has not after so long is killed.
+    pub kill_after: Duration,
+}
+
+/// All proxies of a run.
+#[derive(Debug)]
+pub struct Processes {
+    settings: Settings,
+    proxies: Vec<Proxy>,
+    tell: Sender<Heard>,
+    heard: Receiver<Heard>,
+    seen: Vec<(Instant, usize, Seen)>,
+}
+
+impl Processes {
+    /// Proxies behind these doors, each with a directory below `root`; none is started yet.
+    ///
+    /// # Errors
+    /// A directory cannot be made.
+    pub fn new(settings: Settings, doors: Vec<Door>, root: &std::path::Path) -> io::Result<Processes> {
+        let mut proxies = Vec::new();
+        for (number, door) in doors.into_iter().enumerate() {
+            let directory = root.join(format!("p{number}"));
+            fs::create_dir_all(&directory)?;
+            let directory = directory.canonicalize()?;
+            let (lives, file) = (Arc::new(AtomicU32::new(0)), String::new());
+            proxies.push(Proxy { door, directory, file, process: None, lives, ready: false, wanted: None });
+        }
+        let (tell, heard) = mpsc::channel();
+        Ok(Processes { settings, proxies, tell, heard, seen: Vec::new() })
+    }
+
+    /// Where a proxy listens.
+    pub fn address(&self, proxy: usize) -> SocketAddr {
+        self.proxies[proxy].door.address
+    }
+
+    /// The file that it reads at its next start.
+    pub fn set_file(&mut self, proxy: usize, text: String) {
+        self.proxies[proxy].file = text;
+    }
+
+    /// Starts one that is down; one that is up is started when it has ended.
+    ///
+    /// # Errors
+    /// Its file cannot be written, or there is no process to be had.
+    pub fn start(&mut self, proxy: usize, fresh: bool) -> io::Result<()> {
+        let one = &mut self.proxies[proxy];
+        if one.process.is_some() {
+            one.wanted = Some(Start { fresh });
+            return Ok(());
+        }
+        one.wanted = None;
+        if fresh {
+            fs::remove_dir_all(&one.directory)?;
+            fs::create_dir_all(&one.directory)?;
+        }
+        fs::write(one.directory.join("operator.toml"), &one.file)?;
+        let life = one.lives.fetch_add(1, Ordering::Relaxed) + 1;
+        let launch = Launch {
+            lab: &self.settings.lab,
+            program: &self.settings.program,
+            directory: &one.directory,
+            descriptors: self.settings.descriptors,
+        };
+        one.process = Some(Process::start(launch, proxy, life, &self.tell)?);
+        one.ready = false;
+        ready::watch(one.door.address, proxy, life, one.lives.clone(), self.tell.clone());
+        self.seen.push((Instant::now(), proxy, Seen::Process(ProcessEvent::Started)));
+        Ok(())
+    }
+
+    /// Signals one; nothing where it is down.
+    pub fn signal(&mut self, proxy: usize, signal: Signal) {
+        let Some(process) = &mut self.proxies[proxy].process else { return };
+        let event = match signal {
+            Signal::Kill => {
+                process.order("KILL");
+                ProcessEvent::Killed
+            }
+            Signal::Term => {
+                process.order("TERM");
+                process.termed.get_or_insert_with(Instant::now);
+                ProcessEvent::Termed
+            }
+            Signal::Stop => {
+                process.order("STOP");
+                process.stopped = true;
+                ProcessEvent::Stopped
+            }
+            Signal::Continue if process.stopped => {
+                process.order("CONT");
+                process.stopped = false;
+                ProcessEvent::Continued
+            }
+            Signal::Continue => return,
+        };
+        self.seen.push((Instant::now(), proxy, Seen::Process(event)));
+    }
+
+    /// Has one read that file; one that is down has it at its next start.
+    ///
+    /// # Errors
+    /// The file cannot be written.
+    pub fn reload(&mut self, proxy: usize, file: String) -> io::Result<()> {
+        let one = &mut self.proxies[proxy];
+        one.file = file;
+        let Some(process) = &mut one.process else { return Ok(()) };
+        let next = one.directory.join("operator.next");
+        fs::write(&next, &one.file)?;
+        fs::rename(&next, one.directory.join("operator.toml"))?;
+        process.order("HUP");
+        self.seen.push((Instant::now(), proxy, Seen::Process(ProcessEvent::Reloaded)));
+        Ok(())
+    }
+
+    /// Takes in what was heard, starts what waits to be started and kills what would not end. To be called often.
+    ///
+    /// # Errors
+    /// A process that waited could not be started.
+    pub fn tick(&mut self) -> io::Result<()> {
+        while let Ok(heard) = self.heard.try_recv() {
+            self.take(heard);
+        }
+        for proxy in 0..self.proxies.len() {
+            let (one, after) = (&mut self.proxies[proxy], self.settings.kill_after);
+            let late = |p: &Process| p.termed.is_some_and(|at| at.elapsed() > after);
+            if one.process.as_ref().is_some_and(late) {
+                if let Some(process) = &mut one.process {
+                    process.termed = None;
+                }
+                self.signal(proxy, Signal::Kill);
+            }
+            let one = &self.proxies[proxy];
+            if let (None, Some(start)) = (&one.process, one.wanted) {
+                self.start(proxy, start.fresh)?;
+            }
+        }
+        Ok(())
+    }
+
+    fn take(&mut self, heard: Heard) {
+        let one = &mut self.proxies[heard.proxy];
+        let current = one.process.as_ref().is_some_and(|p| p.life == heard.life);
+        let seen = match heard.word {
+            Word::Log(line) => Seen::Log(line),
+            Word::Pid(pid) => {
+                if let Some(process) = one.process.as_mut().filter(|_| current) {
+                    process.pid = Some(pid);
+                }
+                return;
+            }
+            Word::Ready if current => {
+                one.ready = true;
+                Seen::Process(ProcessEvent::Ready)
+            }
+            Word::Exited(code) if current => {
+                one.ready = false;
+                one.lives.fetch_add(1, Ordering::Relaxed);
+                if let Some(process) = one.process.take() {
+                    process.end(PATIENCE);
+                }
+                Seen::Process(ProcessEvent::Exited { code })
+            }
+            _ => return,
+        };
+        self.seen.push((heard.at, heard.proxy, seen));
+    }
+
+    /// What happened since this was asked last, in the order in which it was heard.
+    pub fn seen(&mut self) -> Vec<(Instant, usize, Seen)> {
+        std::mem::take(&mut self.seen)
+    }
+
+    /// How many are ready.
+    pub fn ready(&self) -> usize {
+        self.proxies.iter().filter(|p| p.ready && p.process.is_some()).count()
+    }
+
+    /// Those that are not, and whether each is still up.
+    pub fn unready(&self) -> Vec<(usize, bool)> {
+        let unready = self.proxies.iter().enumerate().filter(|(_, p)| !p.ready);
+        unready.map(|(number, p)| (number, p.process.is_some())).collect()
+    }
+
+    /// Numbers of the processes that are up.
+    pub fn pids(&self) -> Vec<u32> {
+        self.proxies.iter().filter_map(|p| p.process.as_ref()?.pid).collect()
+    }
+
+    /// Ends all, and waits for that.
+    pub fn end(&mut self) {
+        for one in &mut self.proxies {
+            one.wanted = None;
+            one.lives.fetch_add(1, Ordering::Relaxed);
+            if let Some(process) = &mut one.process {
+                process.let_go();
+            }
+        }
+        for one in &mut self.proxies {
+            if let Some(process) = one.process.take() {
+                process.end(PATIENCE);
+            }
+        }
+    }
+}
+
+impl Drop for Processes {
+    fn drop(&mut self) {
+        self.end();
+    }
+}
--- /dev/null
+++ b/crates/lab/src/fleet/ready.rs
@@ -0,0 +1,45 @@
+//! Asks a process until it is ready.
+
+use super::process::Heard;
+use super::Word;
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::sync::atomic::{AtomicU32, Ordering};
+use std::sync::mpsc::Sender;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+/// It is asked so often ...
+const EVERY: Duration = Duration::from_millis(10);
+/// ... and has so long for an answer.
+const WAIT: Duration = Duration::from_millis(500);
+/// Nobody waits longer.
+const LONGEST: Duration = Duration::from_secs(600);
+
+/// Whether it says so at this moment; blocks for [`WAIT`] at most twice.
+pub fn is_ready(address: SocketAddr) -> bool {
+    let ask = || -> std::io::Result<bool> {
+        let mut tcp = TcpStream::connect_timeout(&address, WAIT)?;
+        tcp.set_read_timeout(Some(WAIT))?;
+        tcp.write_all(b"GET /-/ready HTTP/1.1\r\nHost: lab\r\nConnection: close\r\n\r\n")?;
+        let mut head = [0; 12];
+        tcp.read_exact(&mut head)?;
+        Ok(head == *b"HTTP/1.1 200")
+    };
+    ask().unwrap_or(false)
+}
+
+/// Tells once that the process is ready, unless its life is over by then.
+pub fn watch(address: SocketAddr, proxy: usize, life: u32, lives: Arc<AtomicU32>, heard: Sender<Heard>) {
+    let work = move || {
+        let begun = Instant::now();
+        while lives.load(Ordering::Relaxed) == life && begun.elapsed() < LONGEST {
+            if is_ready(address) {
+                let _ = heard.send(Heard { proxy, life, at: Instant::now(), word: Word::Ready });
+                return;
+            }
+            std::thread::sleep(EVERY);
+        }
+    };
+    let _ = std::thread::Builder::new().name("ready".into()).spawn(work);
+}
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -7,6 +7,9 @@
 #![warn(missing_docs)]
 
 pub mod compare;
+pub mod experiment;
+pub mod fleet;
 pub mod judge;
 pub mod report;
 pub mod samples;
+pub mod timeline;
--- /dev/null
+++ b/crates/lab/src/timeline.rs
@@ -0,0 +1,170 @@
+//! The steps of an experiment as single actions at their moments. Pure: the same experiment gives the same plan.
+
+use crate::experiment::{BoxFault, Experiment, ListState, Signal, Step, What};
+use std::time::Duration;
+
+/// One thing to do.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Action {
+    /// A step that service may feel begins: its number.
+    Mark(usize),
+    /// Signals a proxy's process.
+    Signal(usize, Signal),
+    /// Starts a proxy's process once it is down.
+    Start {
+        /// Which.
+        proxy: usize,
+        /// Without what it left in its directory.
+        fresh: bool,
+    },
+    /// Has a proxy read its file again, with the `more` of that step.
+    Reload(usize, usize),
+    /// Puts the link fault of a step in force, or takes it back.
+    Links(usize, bool),
+    /// Changes the list service.
+    List(ListState),
+    /// A box drains.
+    Drain(usize),
+    /// A box dies.
+    KillBox(usize),
+    /// A box starts.
+    StartBox(usize),
+    /// A box drains and its stand-in starts.
+    Replace(usize),
+    /// What a box was replaced by is alone: the old one ends.
+    Replaced(usize),
+    /// A box does something else.
+    Box(usize, BoxFault),
+    /// So many times the usual requests.
+    Burst(f64),
+}
+
+/// An action and its moment, from the first request on.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Due {
+    /// When.
+    pub at: Duration,
+    /// What.
+    pub action: Action,
+}
+
+/// When the step's effect is meant to be over; none where it stays.
+pub fn ends(step: &Step) -> Option<Duration> {
+    match &step.what {
+        What::Restart { down, .. } | What::Replace { down } => Some(step.at + step.over + *down),
+        _ => step.lasts.map(|lasts| step.at + step.over + lasts),
+    }
+}
+
+/// All that is to be done, in order. Of the same moment, what stands first in the file comes first.
+pub fn plan(experiment: &Experiment) -> Vec<Due> {
+    let mut plan = Vec::new();
+    for (number, step) in experiment.steps.iter().enumerate() {
+        if step.fault {
+            plan.push(Due { at: step.at, action: Action::Mark(number) });
+        }
+        expand(number, step, &mut plan);
+    }
+    plan.sort_by_key(|due| due.at); // stable
+    plan
+}
+
+fn expand(number: usize, step: &Step, plan: &mut Vec<Due>) {
+    let mut push = |at: Duration, action: Action| plan.push(Due { at, action });
+    let moments = |count: usize| {
+        let (at, over, parts) = (step.at, step.over, count.max(1) as u32);
+        (0..count as u32).map(move |n| at + over * n / parts)
+    };
+    let proxies = || moments(step.proxies.len()).zip(step.proxies.iter().copied());
+    let boxes = || moments(step.boxes.len()).zip(step.boxes.iter().copied());
+    let back = step.lasts.map(|lasts| step.at + lasts);
+    match &step.what {
+        What::Signal(signal) => {
+            proxies().for_each(|(at, p)| push(at, Action::Signal(p, *signal)));
+            if let Some(lasts) = step.lasts {
+                proxies().for_each(|(at, p)| push(at + lasts, Action::Signal(p, Signal::Continue)));
+            }
+        }
+        What::Start { fresh } => {
+            proxies().for_each(|(at, proxy)| push(at, Action::Start { proxy, fresh: *fresh }));
+        }
+        What::Restart { term, down, fresh } => {
+            let signal = if *term { Signal::Term } else { Signal::Kill };
+            for (at, proxy) in proxies() {
+                push(at, Action::Signal(proxy, signal));
+                push(at + *down, Action::Start { proxy, fresh: *fresh });
+            }
+        }
+        What::Reload { .. } => proxies().for_each(|(at, p)| push(at, Action::Reload(p, number))),
+        What::Links { .. } => {
+            push(step.at, Action::Links(number, true));
+            if let Some(back) = back {
+                push(back, Action::Links(number, false));
+            }
+        }
+        What::List(state) => {
+            push(step.at, Action::List(*state));
+            if let Some(back) = back {
+                push(back, Action::List(ListState::Up));
+            }
+        }
+        What::Drain => boxes().for_each(|(at, b)| push(at, Action::Drain(b))),
+        What::KillBoxes => boxes().for_each(|(at, b)| push(at, Action::KillBox(b))),
+        What::StartBoxes => boxes().for_each(|(at, b)| push(at, Action::StartBox(b))),
+        What::Replace { down } => {
+            for (at, b) in boxes() {
+                push(at, Action::Replace(b));
+                push(at + *down, Action::Replaced(b));
+            }
+        }
+        What::Boxes(fault) => {
+            for (at, b) in boxes() {
+                push(at, Action::Box(b, *fault));
+                if let Some(lasts) = step.lasts {
+                    push(at + lasts, Action::Box(b, BoxFault::Well));
+                }
+            }
+        }
+        What::Burst(times) => {
+            push(step.at, Action::Burst(*times));
+            if let Some(back) = back {
+                push(back, Action::Burst(1.0));
+            }
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn plan_of(steps: &str) -> Vec<Due> {
+        let text = format!(
+            "name = \"x\"\nlength = \"20s\"\n[fleet]\nproxies = 4\n[boxes]\ncount = 4\n[load]\n\
+             requests_per_s = 1\n[[class]]\nname = \"read\"\n{steps}"
+        );
+        plan(&Experiment::read("x.toml", &text).expect("a sound file"))
+    }
+
+    #[test]
+    fn a_restart_over_a_spread_takes_one_after_the_other() {
+        let plan = plan_of(
+            "[[at]]\nat = \"4s\"\ndo = \"restart\"\nwho = [\"p1\", \"p3\"]\nover = \"2s\"\ndown = \"500ms\"\n\
+             directory = \"fresh\"",
+        );
+        let ms = |due: &Due| due.at.as_millis();
+        assert_eq!(plan.iter().map(ms).collect::<Vec<_>>(), [4000, 4000, 4500, 5000, 5500]);
+        assert_eq!(plan[0].action, Action::Mark(0));
+        assert_eq!(plan[1].action, Action::Signal(1, Signal::Term));
+        assert_eq!(plan[4].action, Action::Start { proxy: 3, fresh: true });
+    }
+
+    #[test]
+    fn what_lasts_is_taken_back() {
+        let plan = plan_of("[[at]]\nat = \"1s\"\ndo = \"list\"\nstate = \"down\"\nlasts = \"3s\"");
+        let last = plan.last().expect("three");
+        assert_eq!((last.at.as_secs(), last.action.clone()), (4, Action::List(ListState::Up)));
+        let plan = plan_of("[[at]]\nat = \"1s\"\ndo = \"stop\"\nwho = \"p0\"\nlasts = \"3s\"");
+        assert_eq!(plan.last().expect("three").action, Action::Signal(0, Signal::Continue));
+    }
+}
--- a/crates/testkit/src/listing/book.rs
+++ b/crates/testkit/src/listing/book.rs
@@ -1,5 +1,6 @@
 //! The list, its versions, and who was told what. Pure: times are arguments.
 
+use super::View;
 use crate::checks::Drained;
 use serde_json::json;
 use shaletide_base::Time;
@@ -67,8 +68,12 @@
     }
 
     fn json(&self) -> serde_json::Value {
+        self.json_at(self.address)
+    }
+
+    fn json_at(&self, address: SocketAddr) -> serde_json::Value {
         json!({
-            "name": self.name, "address": self.address.to_string(), "zone": self.zone, "type": self.kind,
+            "name": self.name, "address": address.to_string(), "zone": self.zone, "type": self.kind,
             "group": self.group, "status": self.status.word(), "weight": self.weight,
             "since_ms": self.since_ms,
         })
@@ -113,12 +118,21 @@
     /// The version that each watcher was brought up to.
     heard: Vec<u64>,
     told: Vec<Told>,
+    views: Vec<View>,
+    /// Calls that came.
+    pub calls: u64,
 }
 
 impl Book {
     pub fn new(watchers: &[&str], entries: Vec<Entry>) -> Book {
         let entries = entries.into_iter().map(|e| (e.name.clone(), (1, e))).collect();
-        Book { index: 1, entries, compacted: 0, heard: vec![0; watchers.len()], told: Vec::new() }
+        let heard = vec![0; watchers.len()];
+        Book { index: 1, entries, compacted: 0, heard, told: Vec::new(), views: Vec::new(), calls: 0 }
+    }
+
+    /// The same where watchers are told addresses of their own.
+    pub fn seen(self, views: Vec<View>) -> Book {
+        Book { views, ..self }
     }
 
     pub fn index(&self) -> u64 {
@@ -142,28 +156,30 @@
         self.entries.retain(|_, (_, entry)| entry.status != Status::Deleted);
     }
 
-    /// The answer to a call; `None` where a watch has to wait.
-    pub fn answer(&self, after: Option<u64>) -> Option<Answer> {
+    /// The answer to a call of a watcher; `None` where a watch has to wait.
+    pub fn answer(&self, watcher: usize, after: Option<u64>) -> Option<Answer> {
         let changes = after.filter(|after| *after <= self.index && *after >= self.compacted);
         if changes == Some(self.index) {
             return None;
         }
-        Some(self.write(changes))
+        Some(self.write(watcher, changes))
     }
 
     /// The answer to a watch that waited for nothing.
     pub fn nothing(&self) -> Answer {
-        self.write(Some(self.index))
+        self.write(usize::MAX, Some(self.index))
     }
 
     /// What changed after that version, or the whole list.
-    fn write(&self, after: Option<u64>) -> Answer {
+    fn write(&self, watcher: usize, after: Option<u64>) -> Answer {
+        let view = self.views.get(watcher);
+        let address = |e: &Entry| view.and_then(|view| view.get(&e.name)).copied().unwrap_or(e.address);
         let mentioned = |(changed, entry): &&(u64, Entry)| match after {
             Some(after) => *changed > after,
             None => entry.status != Status::Deleted,
         };
         let entries: Vec<_> = self.entries.values().filter(mentioned).collect();
-        let lines: Vec<_> = entries.iter().map(|(_, entry)| entry.json()).collect();
+        let lines: Vec<_> = entries.iter().map(|(_, entry)| entry.json_at(address(entry))).collect();
         let body = json!({"index": self.index, "snapshot": after.is_none(), "endpoints": lines}).to_string();
         // A whole list tells of the deleted by leaving them out.
         let told = self.entries.values().filter(|e| after.is_none() || mentioned(e));
@@ -235,14 +251,14 @@
     #[test]
     fn a_call_gets_the_whole_list_and_a_watch_what_changed() {
         let mut book = book();
-        assert_eq!(read(book.answer(None)), (1, true, vec!["a SERVING".into(), "b SERVING".into()]));
-        assert!(book.answer(Some(1)).is_none());
+        assert_eq!(read(book.answer(0, None)), (1, true, vec!["a SERVING".into(), "b SERVING".into()]));
+        assert!(book.answer(0, Some(1)).is_none());
         book.set("a", Status::Draining);
         book.set("b", Status::Deleted);
         book.set("none", Status::Deleted);
-        assert_eq!(read(book.answer(Some(2))), (3, false, vec!["b DELETED".into()]));
-        assert_eq!(read(book.answer(Some(1))), (3, false, vec!["a DRAINING".into(), "b DELETED".into()]));
-        assert_eq!(read(book.answer(None)), (3, true, vec!["a DRAINING".into()]));
+        assert_eq!(read(book.answer(0, Some(2))), (3, false, vec!["b DELETED".into()]));
+        assert_eq!(read(book.answer(0, Some(1))), (3, false, vec!["a DRAINING".into(), "b DELETED".into()]));
+        assert_eq!(read(book.answer(0, None)), (3, true, vec!["a DRAINING".into()]));
         assert_eq!(read(Some(book.nothing())), (3, false, vec![]));
     }
 
@@ -252,16 +268,16 @@
         book.put(entry("c"));
         book.compact();
         for after in [0, 1, 7] {
-            assert!(read(book.answer(Some(after))).1, "{after}");
+            assert!(read(book.answer(0, Some(after))).1, "{after}");
         }
-        assert!(book.answer(Some(2)).is_none());
+        assert!(book.answer(0, Some(2)).is_none());
     }
 
     #[test]
     fn a_drain_is_told_when_the_last_watcher_was_first_told() {
         let mut book = book();
         let tell = |book: &mut Book, watcher, after, at| {
-            let answer = book.answer(after).expect("an answer");
+            let answer = book.answer(watcher, after).expect("an answer");
             book.tell(watcher, answer, Time(at));
         };
         tell(&mut book, 0, None, 1);
--- a/crates/testkit/src/listing/mod.rs
+++ b/crates/testkit/src/listing/mod.rs
@@ -9,11 +9,15 @@
 use crate::checks::Drained;
 use crate::{Clock, PATIENCE};
 use book::Book;
+use std::collections::BTreeMap;
 use std::io;
 use std::net::{SocketAddr, TcpListener};
 use std::sync::{Arc, Condvar, Mutex, MutexGuard, PoisonError};
 use tokio::sync::watch;
 
+/// What a watcher is told instead of the entries' own addresses: by entry name. Others are told as they are.
+pub type View = BTreeMap<String, SocketAddr>;
+
 /// Whether discovery does its work.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum ListService {
@@ -63,6 +67,16 @@
     /// # Errors
     /// No port, no thread, or no descriptors.
     pub fn start(clock: Clock, watchers: &[&str], entries: Vec<Entry>) -> io::Result<ListServer> {
+        ListServer::with_views(clock, watchers, entries, Vec::new())
+    }
+
+    /// The same where each watcher is told addresses of its own, by its place.
+    ///
+    /// # Errors
+    /// No port, no thread, or no descriptors.
+    pub fn with_views(
+        clock: Clock, watchers: &[&str], entries: Vec<Entry>, views: Vec<View>,
+    ) -> io::Result<ListServer> {
         let (mut doors, mut listeners) = (Vec::new(), Vec::new());
         for name in watchers {
             let listener = TcpListener::bind("127.0.0.1:0")?;
@@ -70,7 +84,7 @@
             doors.push((name.to_string(), listener.local_addr()?));
             listeners.push(listener);
         }
-        let book = Book::new(watchers, entries);
+        let book = Book::new(watchers, entries).seen(views);
         let news = watch::Sender::new((book.index(), ListService::Up));
         let shared = Arc::new(Shared { book: Mutex::new(book), written: Condvar::new(), news, clock });
         let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
@@ -132,6 +146,11 @@
         index
     }
 
+    /// Calls that came so far, whatever became of them.
+    pub fn calls(&self) -> u64 {
+        self.shared.book().calls
+    }
+
     /// What was told so far, in order.
     pub fn told(&self) -> Vec<Told> {
         self.shared.book().told().to_vec()
--- a/crates/testkit/src/listing/shell.rs
+++ b/crates/testkit/src/listing/shell.rs
@@ -49,8 +49,9 @@
             }
             continue;
         };
+        shared.book().calls += 1;
         let outcome = tokio::select! {
-            outcome = outcome(&shared, &call) => outcome,
+            outcome = outcome(&shared, watcher, &call) => outcome,
             () = wire.ended() => return,
         };
         let done = match outcome {
@@ -107,7 +108,7 @@
 }
 
 /// What a call comes to, once it is known. Dropped midway, nothing was told.
-async fn outcome(shared: &Shared, call: &Call) -> Outcome {
+async fn outcome(shared: &Shared, watcher: usize, call: &Call) -> Outcome {
     let mut news = shared.news.subscribe();
     let until = Instant::now() + call.wait;
     loop {
@@ -121,7 +122,7 @@
                 }
             }
             ListService::Up => {
-                let answer = shared.book().answer(call.after);
+                let answer = shared.book().answer(watcher, call.after);
                 if let Some(answer) = answer {
                     return Outcome::Answer(answer);
                 }
--- a/crates/testkit/src/load/http.rs
+++ b/crates/testkit/src/load/http.rs
@@ -8,23 +8,32 @@
 use tokio::time::Instant;
 
 /// What came of one sending.
-pub(super) enum Exchange {
+#[derive(Debug)]
+pub enum Exchange {
     /// A whole answer.
     Answer(Message),
     /// The connection ended first; whether any byte had come by then.
-    Broken { began: bool },
+    Broken {
+        /// Whether any had.
+        began: bool,
+    },
     /// The client's time was up.
     GaveUp,
 }
 
 /// A connection that may be used again.
-pub(super) struct Link {
+#[derive(Debug)]
+pub struct Link {
     wire: Wire,
     /// It has carried a request before.
     pub used: bool,
 }
 
 impl Link {
+    /// Opens one.
+    ///
+    /// # Errors
+    /// It was not taken, or not by then.
     pub async fn open(to: SocketAddr, until: Instant) -> io::Result<Link> {
         let tcp = tokio::time::timeout_at(until, TcpStream::connect(to)).await??;
         Ok(Link { wire: Wire::new(tcp), used: false })
--- a/crates/testkit/src/load/mod.rs
+++ b/crates/testkit/src/load/mod.rs
@@ -5,6 +5,7 @@
 mod run;
 mod sequential;
 
+pub use http::{Exchange, Link as Kept};
 pub use result::{ClassResult, End, LoadResult, Sent};
 pub use sequential::{sequential, Spread};
 
--- a/crates/testkit/src/pacer.rs
+++ b/crates/testkit/src/pacer.rs
@@ -25,14 +25,23 @@
     }
 }
 
+impl std::fmt::Debug for Pacer {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        write!(f, "a pacer")
+    }
+}
+
 /// The thread and its sleepers, each with one moment at a time; ends when this is dropped.
-pub(crate) struct Pacer {
+pub struct Pacer {
     shared: Arc<Shared>,
     thread: Option<std::thread::JoinHandle<()>>,
 }
 
 impl Pacer {
     /// Starts a thread that notifies the sleeper of each place.
+    ///
+    /// # Errors
+    /// No thread.
     pub fn start(sleepers: Vec<Arc<Notify>>) -> std::io::Result<Pacer> {
         let state = State { moments: vec![None; sleepers.len()], ..State::default() };
         let shared = Arc::new(Shared { state: Mutex::new(state), sooner: Condvar::new() });
