--- /dev/null
+++ b/crates/lab/src/clients/mod.rs
@@ -0,0 +1,371 @@
+//! The clients: arrivals at random that do not wait for answers (Poisson), on connections that are kept and that the
+//! front deals, on one thread. A client's time counts from when it had its request to send.
+
+mod request;
+
+pub use request::{end, id, method, pause, render, wish, Wish, MAX_TRIES};
+
+use crate::experiment::Experiment;
+use crate::front::Dealer;
+use crate::samples::{Sample, TryEnd};
+use shaletide_base::{Micros, Time};
+use shaletide_testkit::{Clock, Dice, Exchange, Kept, Law, Message, Pacer};
+use std::cell::{Cell, RefCell};
+use std::io;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, Instant};
+use tokio::sync::Notify;
+
+/// Connections at rest that are kept in a zone; further ones are closed.
+const MAX_IDLE: usize = 4_096;
+/// With less time left nothing is sent.
+const LEAST: Duration = Duration::from_millis(1);
+/// Tries that are kept; a run with more is void. One takes about 150 bytes.
+pub const MAX_TRIES_KEPT: usize = 2_000_000;
+
+/// What the clients' thread writes and the run reads.
+#[derive(Debug, Default)]
+pub struct Heard {
+    /// The tries that are over.
+    pub tries: Vec<Sample>,
+    /// What the front saw: when, which proxy, whether it is in.
+    pub front: Vec<(Time, usize, bool)>,
+    /// Why the run is void for the clients' sake.
+    pub void: Option<String>,
+    /// Tries, those served and those refused, counted apart from `tries`.
+    pub totals: (u64, u64, u64),
+}
+
+/// What the run tells the clients while they ask.
+#[derive(Debug, Default)]
+struct Controls {
+    stop: AtomicBool,
+    /// How many times the usual requests: an `f64`.
+    times: AtomicU64,
+    /// How late an arrival was at worst since this was asked last, us.
+    late_us: AtomicU64,
+    heard: Mutex<Heard>,
+}
+
+impl Controls {
+    fn heard(&self) -> MutexGuard<'_, Heard> {
+        self.heard.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// Clients at work; they stop when this is dropped.
+#[derive(Debug)]
+pub struct Clients {
+    controls: Arc<Controls>,
+    thread: Option<std::thread::JoinHandle<()>>,
+}
+
+/// How clients are started.
+#[derive(Clone, Debug)]
+pub struct Start {
+    /// What they ask for.
+    pub experiment: Arc<Experiment>,
+    /// Of all their dice.
+    pub seed: u64,
+    /// The run's clock.
+    pub clock: Clock,
+    /// The moment of that clock at which the run begins.
+    pub zero: Time,
+    /// Where connections to each proxy lead.
+    pub proxies: Vec<SocketAddr>,
+}
+
+impl Clients {
+    /// Starts them; arrivals begin at once and end after the experiment's length.
+    ///
+    /// # Errors
+    /// No thread, or no descriptors.
+    pub fn start(start: Start) -> io::Result<Clients> {
+        let controls = Arc::new(Controls::default());
+        controls.times.store(1f64.to_bits(), Ordering::Relaxed);
+        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
+        let due_now = Arc::new(Notify::new());
+        let pacer = Pacer::start(vec![due_now.clone()])?;
+        let shared = controls.clone();
+        let work = move || {
+            let local = tokio::task::LocalSet::new();
+            local.block_on(&runtime, async move {
+                let crowd = Rc::new(Crowd::new(start, shared));
+                crowd.run(&pacer, &due_now).await;
+            });
+        };
+        let thread = std::thread::Builder::new().name("clients".into()).spawn(work)?;
+        Ok(Clients { controls, thread: Some(thread) })
+    }
+
+    /// From now on so many times the usual requests.
+    pub fn burst(&self, times: f64) {
+        self.controls.times.store(times.to_bits(), Ordering::Relaxed);
+    }
+
+    /// How late an arrival was at worst since this was asked last.
+    pub fn late(&self) -> Micros {
+        Micros(self.controls.late_us.swap(0, Ordering::Relaxed))
+    }
+
+    /// Whether all are over.
+    pub fn done(&self) -> bool {
+        self.thread.as_ref().is_none_or(std::thread::JoinHandle::is_finished)
+    }
+
+    /// Stops, and waits until all is over. What they saw.
+    pub fn end(mut self) -> Heard {
+        self.stop();
+        std::mem::take(&mut *self.controls.heard())
+    }
+
+    /// Waits for the end of all and gives what they saw.
+    pub fn finish(mut self) -> Heard {
+        if let Some(thread) = self.thread.take() {
+            if thread.join().is_err() {
+                self.controls.heard().void = Some("the clients' thread panicked".into());
+            }
+        }
+        std::mem::take(&mut *self.controls.heard())
+    }
+
+    fn stop(&mut self) {
+        self.controls.stop.store(true, Ordering::Relaxed);
+        if let Some(thread) = self.thread.take() {
+            let _ = thread.join();
+        }
+    }
+}
+
+impl Drop for Clients {
+    fn drop(&mut self) {
+        self.stop();
+    }
+}
+
+/// A connection at rest.
+struct Rest {
+    line: Kept,
+    proxy: usize,
+    /// Requests that it still carries.
+    left: u32,
+}
+
+/// All clients, on their thread.
+struct Crowd {
+    start: Start,
+    controls: Arc<Controls>,
+    dealer: RefCell<Dealer>,
+    dice: RefCell<Dice>,
+    idle: Vec<RefCell<Vec<Rest>>>,
+    open: Cell<usize>,
+}
+
+/// Counts a client that is at work.
+struct AtWork<'a>(&'a Cell<usize>);
+
+impl Drop for AtWork<'_> {
+    fn drop(&mut self) {
+        self.0.set(self.0.get().saturating_sub(1));
+    }
+}
+
+impl Crowd {
+    fn new(start: Start, controls: Arc<Controls>) -> Crowd {
+        let (experiment, seed) = (&start.experiment, start.seed);
+        let zones: Vec<usize> = (0..experiment.fleet.proxies).map(|p| experiment.zone_of_proxy(p)).collect();
+        let front = &experiment.front;
+        let notices = Micros(front.notices_after.as_micros() as u64);
+        let dealer = Dealer::new(&zones, front.uneven, front.own_zone, notices, seed);
+        let idle = experiment.fleet.zones.iter().map(|_| RefCell::default()).collect();
+        let dice = RefCell::new(Dice::of(seed, "clients"));
+        Crowd { controls, dealer: RefCell::new(dealer), dice, idle, open: Cell::new(0), start }
+    }
+
+    async fn run(self: Rc<Self>, pacer: &Pacer, due_now: &Notify) {
+        let checks: Vec<_> = (0..self.start.proxies.len())
+            .map(|proxy| tokio::task::spawn_local(self.clone().check(proxy)))
+            .collect();
+        self.clone().arrivals(pacer, due_now).await;
+        let patience = self.start.experiment.classes.iter().map(|c| c.deadline).max().unwrap_or_default();
+        let until = Instant::now() + patience * 2 + Duration::from_secs(2);
+        while self.open.get() > 0 && Instant::now() < until {
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+        checks.iter().for_each(|check| check.abort());
+    }
+
+    async fn arrivals(self: Rc<Self>, pacer: &Pacer, due_now: &Notify) {
+        let experiment = &self.start.experiment;
+        let (begun, mut after) = (Instant::now(), 0.0);
+        let (mut number, mut gaps) = (0, Dice::of(self.start.seed, "arrivals"));
+        let usual = Law::Exponential(1.0 / experiment.load.requests_per_s);
+        while !self.controls.stop.load(Ordering::Relaxed) {
+            let times = f64::from_bits(self.controls.times.load(Ordering::Relaxed));
+            if times <= 0.0 {
+                after = begun.elapsed().as_secs_f64();
+                tokio::time::sleep(Duration::from_millis(5)).await;
+                continue;
+            }
+            after += usual.draw(&mut gaps) / times;
+            if after >= experiment.length.as_secs_f64() {
+                break;
+            }
+            let due = begun + Duration::from_secs_f64(after);
+            if due > Instant::now() {
+                pacer.set(0, Some(due));
+                due_now.notified().await;
+            }
+            let late = Instant::now().saturating_duration_since(due).as_micros() as u64;
+            self.controls.late_us.fetch_max(late, Ordering::Relaxed);
+            let wish = wish(experiment, number, &mut self.dice.borrow_mut());
+            number += 1;
+            if self.open.get() >= experiment.load.connections {
+                let most = experiment.load.connections;
+                let why = format!("all {most} clients were busy: load.connections is too low for this load");
+                self.controls.heard().void.get_or_insert(why);
+                continue;
+            }
+            self.open.set(self.open.get() + 1);
+            tokio::task::spawn_local(self.clone().client(wish, due));
+            if number % 64 == 0 {
+                // An arrival that is late would else hold up all that is under way.
+                tokio::task::yield_now().await;
+            }
+        }
+    }
+
+    /// Asks one proxy again and again whether it is ready.
+    async fn check(self: Rc<Self>, proxy: usize) {
+        let every = self.start.experiment.front.check_every;
+        // Not all in the same instant.
+        tokio::time::sleep(every.mul_f64(proxy as f64 / self.start.proxies.len() as f64)).await;
+        loop {
+            let begun = tokio::time::Instant::now();
+            let until = begun + every;
+            let ready = async {
+                let mut line = Kept::open(self.start.proxies[proxy], until).await.ok()?;
+                let ask = b"GET /-/ready HTTP/1.1\r\nHost: lab\r\nConnection: close\r\n\r\n";
+                match line.ask(ask, "GET", until).await {
+                    Exchange::Answer(answer) => Some(answer.status() == 200),
+                    _ => None,
+                }
+            };
+            let ready = ready.await.unwrap_or(false);
+            let now = self.start.clock.now();
+            if self.dealer.borrow_mut().checked(now, proxy, ready) {
+                let mut heard = self.controls.heard();
+                if heard.front.len() < 100_000 {
+                    heard.front.push((now, proxy, ready));
+                }
+            }
+            tokio::time::sleep_until(until).await;
+        }
+    }
+
+    /// A client from its wish to the end of its last try.
+    async fn client(self: Rc<Self>, wish: Wish, due: Instant) {
+        let _at_work = AtWork(&self.open);
+        let experiment = &self.start.experiment;
+        let class = &experiment.classes[wish.class];
+        let mut asked = due;
+        for nth in 0..MAX_TRIES {
+            let (end, answer) = self.attempt(wish, nth, asked).await;
+            let Some(pause) = pause(&experiment.load, class, nth, end, answer.as_ref()) else { return };
+            if self.controls.stop.load(Ordering::Relaxed) {
+                return;
+            }
+            asked = Instant::now() + pause;
+            tokio::time::sleep_until(asked.into()).await;
+        }
+    }
+
+    async fn attempt(&self, wish: Wish, nth: u8, asked: Instant) -> (TryEnd, Option<Message>) {
+        let id = id(self.start.seed, wish.request, nth);
+        let deadline = asked + self.start.experiment.classes[wish.class].deadline;
+        let (proxy, end, answer) = self.exchange(wish, nth, &id, deadline).await;
+        let us = |at: Instant| (self.start.clock.at(at) - self.start.zero).0;
+        let sample = Sample::Try {
+            request: wish.request,
+            nth,
+            id,
+            class: wish.class as u32,
+            tenant: wish.tenant.map(|t| t as u32),
+            zone: wish.zone as u32,
+            proxy: proxy.map(|p| p as u32),
+            asked_us: us(asked),
+            ended_us: us(Instant::now()),
+            deadline_us: us(deadline),
+            end,
+        };
+        let mut heard = self.controls.heard();
+        heard.totals.0 += 1;
+        heard.totals.1 += u64::from(end == TryEnd::Served);
+        heard.totals.2 += u64::from(matches!(end, TryEnd::Refused { .. }));
+        if heard.tries.len() < MAX_TRIES_KEPT {
+            heard.tries.push(sample);
+        } else {
+            heard.void.get_or_insert_with(|| format!("more than {MAX_TRIES_KEPT} tries"));
+        }
+        (end, answer)
+    }
+
+    async fn exchange(
+        &self, wish: Wish, nth: u8, id: &str, deadline: Instant,
+    ) -> (Option<usize>, TryEnd, Option<Message>) {
+        let mut rest = match self.rest(wish.zone, deadline).await {
+            Ok(rest) => rest,
+            Err(()) => return (None, TryEnd::NotTaken, None),
+        };
+        let proxy = Some(rest.proxy);
+        let left = deadline.saturating_duration_since(Instant::now());
+        if left < LEAST {
+            return (proxy, TryEnd::Silent, None);
+        }
+        let bytes = render(&self.start.experiment, wish, id, left, nth > 0);
+        let method = method(&self.start.experiment.classes[wish.class]);
+        match rest.line.ask(&bytes, method, deadline.into()).await {
+            Exchange::Answer(answer) => {
+                let closing = answer.header("connection").is_some_and(|v| v.eq_ignore_ascii_case("close"));
+                rest.left = rest.left.saturating_sub(1);
+                if !closing && rest.left > 0 && !rest.line.overfull() {
+                    self.keep(wish.zone, rest);
+                }
+                (proxy, end(answer.status()), Some(answer))
+            }
+            Exchange::Broken { .. } => (proxy, TryEnd::Broken, None),
+            Exchange::GaveUp => (proxy, TryEnd::Silent, None),
+        }
+    }
+
+    fn keep(&self, zone: usize, rest: Rest) {
+        let mut idle = self.idle[zone].borrow_mut();
+        if idle.len() < MAX_IDLE {
+            idle.push(rest);
+        }
+    }
+
+    /// A connection at rest, or a new one as the front deals it; an error where none was taken.
+    async fn rest(&self, zone: usize, deadline: Instant) -> Result<Rest, ()> {
+        loop {
+            let kept = {
+                let mut idle = self.idle[zone].borrow_mut();
+                let place = (self.dice.borrow_mut().part() * idle.len() as f64) as usize;
+                (place < idle.len()).then(|| idle.swap_remove(place))
+            };
+            match kept {
+                Some(rest) if rest.line.at_rest() => return Ok(rest),
+                Some(_) => {}
+                None => break,
+            }
+        }
+        let Some(proxy) = self.dealer.borrow_mut().deal(zone) else { return Err(()) };
+        let line = Kept::open(self.start.proxies[proxy], deadline.into()).await.map_err(drop)?;
+        let mean = self.start.experiment.load.requests_per_connection;
+        let left = Law::Even(mean * 0.5, mean * 1.5).draw(&mut self.dice.borrow_mut()).round().max(1.0) as u32;
+        Ok(Rest { line, proxy, left })
+    }
+}
--- /dev/null
+++ b/crates/lab/src/clients/request.rs
@@ -0,0 +1,160 @@
+//! What a client decides: what it asks for, how it is written, whether it comes again. Pure.
+
+use crate::experiment::{ClassPart, Experiment, LoadPart};
+use crate::samples::{Effect, TryEnd};
+use shaletide_testkit::{Dice, Message};
+use std::fmt::Write;
+use std::time::Duration;
+
+/// Whole tries of a client at most: the first and its repeats.
+pub const MAX_TRIES: u8 = 11;
+
+/// What a client wants.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Wish {
+    /// Its number.
+    pub request: u64,
+    /// The class.
+    pub class: usize,
+    /// The tenant.
+    pub tenant: Option<usize>,
+    /// The client's zone.
+    pub zone: usize,
+    /// The last part of the path.
+    pub subject: u64,
+}
+
+/// Draws wishes in the parts that the experiment says; zones have even parts.
+pub fn wish(experiment: &Experiment, request: u64, dice: &mut Dice) -> Wish {
+    let class = pick(dice.part(), experiment.classes.iter().map(|c| c.share));
+    let tenant = pick(dice.part(), experiment.tenants.iter().map(|t| t.share));
+    let zones = experiment.fleet.zones.len();
+    let zone = ((dice.part() * zones as f64) as usize).min(zones - 1);
+    Wish { request, class: class.unwrap_or(0), tenant, zone, subject: dice.word() }
+}
+
+/// Which of these shares a number from 0 to 1 falls to.
+fn pick(part: f64, shares: impl Iterator<Item = f64> + Clone) -> Option<usize> {
+    let mut left = part * shares.clone().sum::<f64>();
+    let mut last = None;
+    for (place, share) in shares.enumerate().filter(|(_, share)| *share > 0.0) {
+        last = Some(place);
+        left -= share;
+        if left < 0.0 {
+            break;
+        }
+    }
+    last
+}
+
+/// The name of a try: none is used twice in a run, and runs of different seeds differ.
+pub fn id(seed: u64, request: u64, nth: u8) -> String {
+    format!("{:08x}{request:010x}{nth:02x}", seed as u32)
+}
+
+/// The method of a class.
+pub fn method(class: &ClassPart) -> &'static str {
+    if class.effect == Effect::Safe {
+        "GET"
+    } else {
+        "POST"
+    }
+}
+
+/// The request as it is sent. A repeat is a request of its own, with its own key: what it repeats was never run.
+pub fn render(experiment: &Experiment, wish: Wish, id: &str, left: Duration, repeat: bool) -> Vec<u8> {
+    let class = &experiment.classes[wish.class];
+    let (method, name, subject) = (method(class), &class.name, wish.subject);
+    let mut text = format!("{method} /{name}/{subject:016x} HTTP/1.1\r\nHost: lab\r\nX-Correlation-Id: {id}\r\n");
+    let _ = write!(text, "X-Time-Left: {:.6}\r\n", left.as_secs_f64());
+    if let Some(tenant) = wish.tenant.and_then(|t| experiment.tenants.get(t)) {
+        let _ = write!(text, "X-Account: {}\r\n", tenant.name);
+    }
+    if class.effect != Effect::Safe {
+        let _ = write!(text, "Idempotency-Key: k-{id}\r\n");
+    }
+    if repeat {
+        text += "X-Repeat: 1\r\n";
+    }
+    if method == "POST" {
+        text += "Content-Length: 8\r\n\r\nlab-body";
+    } else {
+        text += "\r\n";
+    }
+    text.into_bytes()
+}
+
+/// How a whole answer ends a try.
+pub fn end(status: u16) -> TryEnd {
+    match status {
+        200 => TryEnd::Served,
+        429 | 503 => TryEnd::Refused { status },
+        status => TryEnd::Failed { status },
+    }
+}
+
+/// How long a client waits before it comes again; none where it does not. It does where it was refused or nobody took
+/// its connection, whatever its class: it never ran. One whose connection broke does only where that does no harm.
+pub fn pause(load: &LoadPart, class: &ClassPart, nth: u8, end: TryEnd, answer: Option<&Message>) -> Option<Duration> {
+    if nth >= load.retries.min(MAX_TRIES - 1) {
+        return None;
+    }
+    let again = match end {
+        TryEnd::Refused { .. } | TryEnd::NotTaken => true,
+        TryEnd::Broken => class.effect == Effect::Safe,
+        _ => false,
+    };
+    let advice = answer.and_then(|a| a.header("retry-after")?.parse::<f64>().ok());
+    let advice = advice.filter(|s| s.is_finite() && *s >= 0.0);
+    let longest = load.longest_retry_after.as_secs_f64();
+    again.then(|| advice.map_or(load.pause, |s| Duration::from_secs_f64(s.min(longest))))
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn experiment() -> Experiment {
+        let text = "name = \"x\"\nlength = \"5s\"\n[load]\nrequests_per_s = 1\nretries = 1\n\
+                    [fleet]\nzones = [\"a\", \"b\"]\n\
+                    [[class]]\nname = \"read\"\nshare = 3\n[[class]]\nname = \"pay\"\neffect = \"unsafe\"\n";
+        Experiment::read("x", text).expect("a sound file")
+    }
+
+    #[test]
+    fn wishes_come_in_the_parts_that_are_asked_for() {
+        let (experiment, mut dice) = (experiment(), Dice::new(3));
+        let wishes: Vec<Wish> = (0..4_000).map(|n| wish(&experiment, n, &mut dice)).collect();
+        let count = |of: &dyn Fn(&Wish) -> bool| wishes.iter().filter(|w| of(w)).count();
+        assert!((2_850..3_150).contains(&count(&|w| w.class == 0)));
+        assert!((1_850..2_150).contains(&count(&|w| w.zone == 1)));
+        assert!(wishes.iter().all(|w| w.tenant.is_none()));
+    }
+
+    #[test]
+    fn a_client_comes_again_only_where_it_cannot_have_run_or_does_no_harm() {
+        let experiment = experiment();
+        let [read, pay] = [&experiment.classes[0], &experiment.classes[1]];
+        let again = |class, end| pause(&experiment.load, class, 0, end, None).is_some();
+        for class in [read, pay] {
+            assert!(again(class, TryEnd::Refused { status: 429 }) && again(class, TryEnd::NotTaken));
+            assert!(!again(class, TryEnd::Served) && !again(class, TryEnd::Silent));
+            assert!(!again(class, TryEnd::Failed { status: 502 }));
+        }
+        assert!(again(read, TryEnd::Broken) && !again(pay, TryEnd::Broken));
+        let tried = pause(&experiment.load, read, 1, TryEnd::NotTaken, None);
+        assert_eq!(tried, None, "as often as it is told");
+    }
+
+    #[test]
+    fn advice_is_followed_up_to_the_longest() {
+        let experiment = experiment();
+        let pause = |advice: &str| {
+            let headers = vec![("Retry-After".to_string(), advice.to_string())];
+            let answer = Message { headers, ..Message::default() };
+            let end = TryEnd::Refused { status: 503 };
+            pause(&experiment.load, &experiment.classes[0], 0, end, Some(&answer)).map(|p| p.as_millis())
+        };
+        assert_eq!(["0.2", "9", "soon", "-1"].map(pause), [Some(200), Some(1000), Some(50), Some(50)]);
+    }
+}
--- /dev/null
+++ b/crates/lab/src/run/collect.rs
@@ -0,0 +1,107 @@
+//! What boxes and list service wrote down, as samples.
+
+use crate::experiment::Experiment;
+use crate::samples::{BoxEnd, ClassInfo, PowerInfo, Sample};
+use crate::site::{bay_of, box_count, power, Site};
+use shaletide_base::Time;
+use shaletide_testkit::{Ended, Status};
+
+/// The samples that say what was run.
+pub fn head(experiment: &Experiment, seed: u64, command: &str) -> Vec<Sample> {
+    let us = |time: std::time::Duration| time.as_micros() as u64;
+    let class = |c: &crate::experiment::ClassPart| ClassInfo {
+        name: c.name.clone(),
+        effect: c.effect,
+        deadline_us: us(c.deadline),
+        aim_us: us(c.aim),
+        worth: c.worth,
+        window_us: if c.effect == crate::samples::Effect::Keyed { us(c.key_window) } else { 0 },
+    };
+    let profile = if cfg!(debug_assertions) { "debug" } else { "release" };
+    let mut samples = vec![Sample::Run {
+        name: experiment.name.clone(),
+        seed,
+        proxies: experiment.fleet.proxies as u32,
+        boxes: box_count(experiment) as u32,
+        classes: experiment.classes.iter().map(class).collect(),
+        cores: std::thread::available_parallelism().map_or(1, |n| n.get() as u32),
+        build: format!("{} {profile}", env!("CARGO_PKG_VERSION")),
+        command: command.to_string(),
+        zones: experiment.fleet.zones.clone(),
+        lasts_us: us(experiment.length),
+    }];
+    let power = power(experiment);
+    let power = PowerInfo {
+        cores: power.cores,
+        speed: power.speed,
+        cold_from: power.cold_from,
+        ramp_us: power.ramp.0,
+    };
+    samples.extend((0..box_count(experiment)).map(|n| Sample::Box {
+        at_box: n as u32,
+        name: experiment.box_name(n),
+        bay: bay_of(experiment, n) as u32,
+        kind: "big".into(),
+        zone: experiment.zone_of(n) as u32,
+        power: Some(power),
+    }));
+    samples
+}
+
+fn end(ended: Option<(Time, Ended)>) -> BoxEnd {
+    match ended.map(|(_, how)| how) {
+        None => BoxEnd::Open,
+        Some(Ended::Served) => BoxEnd::Served,
+        Some(Ended::TurnedAway) => BoxEnd::TurnedAway,
+        Some(Ended::Failed) => BoxEnd::Failed,
+        Some(Ended::Cancelled) => BoxEnd::Cancelled,
+        Some(Ended::Hung) => BoxEnd::Hung,
+        Some(Ended::Reset) => BoxEnd::Reset,
+        Some(Ended::Spoilt) => BoxEnd::Spoilt,
+        Some(Ended::BoxDied) => BoxEnd::BoxDied,
+    }
+}
+
+/// What the boxes wrote down, and whom the list told what.
+pub fn records(experiment: &Experiment, site: &Site, zero: Time, samples: &mut Vec<Sample>) {
+    let us = |time: Time| (time - zero).0;
+    let ledger = site.fleet.ledger();
+    if ledger.missed > 0 {
+        let reason = format!("the boxes had no room to write down {} requests", ledger.missed);
+        samples.push(Sample::Void { reason });
+    }
+    for (at_box, info) in ledger.boxes.iter().enumerate() {
+        for (boot, start) in info.boots.iter().enumerate() {
+            let (at_us, died_us) = (start.at.map(us), start.died.map(us));
+            samples.push(Sample::Boot { at_box: at_box as u32, boot: boot as u32, at_us, died_us });
+        }
+    }
+    let class = |name: &str| experiment.classes.iter().position(|c| c.name == name);
+    for record in &ledger.records {
+        let Some(class) = class(&record.class) else { continue };
+        samples.push(Sample::BoxRun {
+            at_box: record.at_box as u32,
+            boot: record.boot as u32,
+            id: record.id.to_string(),
+            key: record.key.as_deref().map(str::to_string),
+            class: class as u32,
+            came_us: Some(us(record.came)),
+            began_us: us(record.began),
+            ended_us: record.ended.map(|(at, _)| us(at)),
+            end: end(record.ended),
+            draining_since_us: record.draining.map(us),
+            work_ms: record.work_ms,
+        });
+    }
+    let number = |name: &str| (0..box_count(experiment)).find(|n| experiment.box_name(*n) == name);
+    for told in site.list.told() {
+        let state = match told.status {
+            Status::Serving => "serving",
+            Status::Draining => "draining",
+            Status::Deleted => "gone",
+        };
+        let Some(at_box) = number(&told.name) else { continue };
+        let (at_us, proxy, at_box) = (us(told.at), told.watcher as u32, at_box as u32);
+        samples.push(Sample::Told { at_us, proxy, at_box, state: state.into() });
+    }
+}
--- /dev/null
+++ b/crates/lab/src/run/cpu.rs
@@ -0,0 +1,50 @@
+//! Processor time of processes, as the system counts it.
+
+use std::collections::BTreeMap;
+
+/// Clock ticks of user and system time from the text of `/proc/PID/stat`; none where it makes no sense.
+fn ticks(stat: &str) -> Option<u64> {
+    // The second field is a name in brackets and may hold anything.
+    let rest = stat.rsplit_once(") ")?.1;
+    let mut fields = rest.split(' ').skip(11);
+    let user: u64 = fields.next()?.parse().ok()?;
+    let system: u64 = fields.next()?.parse().ok()?;
+    Some(user + system)
+}
+
+fn taken_ms(who: &str) -> Option<u64> {
+    let stat = std::fs::read_to_string(format!("/proc/{who}/stat")).ok()?;
+    Some(ticks(&stat)? * 1_000 / rustix::param::clock_ticks_per_second().max(1))
+}
+
+/// What the lab and its processes took since this was asked last.
+#[derive(Debug, Default)]
+pub struct Cpu {
+    lab: u64,
+    fleet: BTreeMap<u32, u64>,
+}
+
+impl Cpu {
+    /// Ms of the lab, and of the processes of these numbers together. Where the system says nothing it is 0.
+    pub fn taken(&mut self, pids: &[u32]) -> (u64, u64) {
+        let lab = taken_ms("self").unwrap_or(self.lab);
+        let own = lab.saturating_sub(std::mem::replace(&mut self.lab, lab));
+        let now: BTreeMap<u32, u64> =
+            pids.iter().filter_map(|pid| Some((*pid, taken_ms(&pid.to_string())?))).collect();
+        let before = std::mem::replace(&mut self.fleet, now);
+        let grown = self.fleet.iter().map(|(pid, ms)| ms.saturating_sub(before.get(pid).copied().unwrap_or(0)));
+        (own, grown.sum())
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn a_name_with_brackets_and_spaces_hides_nothing() {
+        let stat = "7 (a) b) c) S 1 7 7 0 -1 4194304 100 0 0 0 31 11 0 0 20 0 1 0 5";
+        assert_eq!(ticks(stat), Some(42));
+        assert_eq!(ticks("7 (a) S 1"), None);
+    }
+}
