The lab's judge: service by second, time to full service, rules, accounts, expectations

A run of real processes is worth what is made of it. The judge reads samples alone and says: what was served when and to whom, how long after each fault service was full again, which rules broke, and whether the lab's own accounts agree. Where they do not, or the lab ran late, the run is void; a fault that met no request proves nothing and fails. Planted lies of a box, a proxy, a link, a clock and a client are each found by their own check and by no other.

--- /dev/null
+++ b/crates/lab/src/judge/boxes.rs
@@ -0,0 +1,108 @@
+//! What boxes and the list service were asked: connections, handshakes and calls, in the worst second against the calm.
+
+use super::facts::{Facts, SECOND_US};
+use super::recovery::{Before, WARM_UP_S};
+use serde::Serialize;
+use std::collections::BTreeMap;
+
+/// A second of all boxes together, and of the list service.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize)]
+pub struct AllBoxes {
+    /// Connections open at its end.
+    pub open: u64,
+    /// Connections begun in it.
+    pub handshakes: u64,
+    /// Of these, at the box with most.
+    pub most_handshakes: u32,
+    /// Which box that is.
+    pub most_at: u32,
+    /// Requests that came in it.
+    pub requests: u64,
+    /// Calls of the list service.
+    pub list_calls: u64,
+}
+
+/// A box over the run.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
+pub struct OneBox {
+    /// Its number.
+    pub at_box: u32,
+    /// Its name.
+    pub name: String,
+    /// Requests that came.
+    pub requests: u64,
+    /// Connections begun.
+    pub handshakes: u64,
+    /// Most of them in one second.
+    pub most_handshakes: u32,
+    /// Most open at the end of a second.
+    pub most_open: u32,
+}
+
+/// The worst second after a fault, against the worst of the calm before it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
+pub struct Peak {
+    /// Before.
+    pub calm: u64,
+    /// After.
+    pub peak: u64,
+}
+
+impl Peak {
+    /// Peak to calm; a calm of none counts as one, so that this is the peak itself.
+    pub fn ratio(&self) -> f64 {
+        self.peak as f64 / self.calm.max(1) as f64
+    }
+}
+
+/// All boxes together, by second.
+pub(crate) fn seconds(facts: &Facts<'_>) -> Vec<AllBoxes> {
+    let mut seconds = vec![AllBoxes::default(); facts.seconds];
+    for one in &facts.box_seconds {
+        let Some(all) = seconds.get_mut((one.at_us / SECOND_US) as usize) else { continue };
+        all.open += u64::from(one.open);
+        all.handshakes += u64::from(one.handshakes);
+        all.requests += u64::from(one.requests);
+        if one.handshakes > all.most_handshakes {
+            (all.most_handshakes, all.most_at) = (one.handshakes, one.at_box);
+        }
+    }
+    for (at_us, calls) in &facts.list_seconds {
+        if let Some(all) = seconds.get_mut((at_us / SECOND_US) as usize) {
+            all.list_calls += u64::from(*calls);
+        }
+    }
+    seconds
+}
+
+/// Each box over the run.
+pub(crate) fn each(facts: &Facts<'_>) -> Vec<OneBox> {
+    let mut boxes: BTreeMap<u32, OneBox> = BTreeMap::new();
+    for second in &facts.box_seconds {
+        let at_box = second.at_box;
+        let one = boxes.entry(at_box).or_insert_with(|| OneBox {
+            at_box,
+            name: facts.box_name(at_box),
+            requests: 0,
+            handshakes: 0,
+            most_handshakes: 0,
+            most_open: 0,
+        });
+        one.requests += u64::from(second.requests);
+        one.handshakes += u64::from(second.handshakes);
+        one.most_handshakes = one.most_handshakes.max(second.handshakes);
+        one.most_open = one.most_open.max(second.open);
+    }
+    boxes.into_values().collect()
+}
+
+/// The worst second of some figure in the seconds after a fault, against the worst of those before. Without seconds
+/// before, or without any sample of the figure, none.
+pub(crate) fn peak(
+    seconds: &[AllBoxes], before: Option<&Before>, after: (usize, usize), figure: impl Fn(&AllBoxes) -> u64,
+) -> Option<Peak> {
+    let before = before?;
+    let most = |from: usize, to: usize| seconds.get(from..to.min(seconds.len()))?.iter().map(&figure).max();
+    let peak = Peak { calm: most(before.from_s.max(WARM_UP_S), before.to_s)?, peak: most(after.0, after.1)? };
+    (peak.calm > 0 || peak.peak > 0).then_some(peak)
+}
--- a/crates/lab/src/judge/expect.rs
+++ b/crates/lab/src/judge/expect.rs
@@ -44,6 +44,86 @@
     pub after: Option<String>,
 }
 
+impl Metric {
+    /// Its name in an experiment.
+    pub fn name(self) -> &'static str {
+        match self {
+            Metric::ServedShare => "served_share",
+            Metric::TimeToFullServiceS => "time_to_full_service_s",
+            Metric::WorstSecond => "worst_second",
+            Metric::ShareLost => "share_lost",
+            Metric::HandshakesPeakRatio => "handshakes_peak_ratio",
+            Metric::ListCallsPeakRatio => "list_calls_peak_ratio",
+            Metric::AttemptsPerRequest => "attempts_per_request",
+            Metric::SettlesTwice => "settles_twice",
+            Metric::RulesBroken => "rules_broken",
+        }
+    }
+
+    /// Whether it is of the whole run and cannot be asked for after a fault.
+    pub fn whole_run(self) -> bool {
+        matches!(self, Metric::AttemptsPerRequest | Metric::SettlesTwice | Metric::RulesBroken)
+    }
+
+    /// All of them.
+    pub const ALL: [Metric; 9] = [
+        Metric::ServedShare,
+        Metric::TimeToFullServiceS,
+        Metric::WorstSecond,
+        Metric::ShareLost,
+        Metric::HandshakesPeakRatio,
+        Metric::ListCallsPeakRatio,
+        Metric::AttemptsPerRequest,
+        Metric::SettlesTwice,
+        Metric::RulesBroken,
+    ];
+}
+
+impl Expectation {
+    /// Why it cannot be asked for, if so; for whoever reads experiments.
+    pub fn problem(&self) -> Option<&'static str> {
+        match (self.at_least, self.at_most) {
+            (None, None) => Some("expects nothing: give at_most or at_least"),
+            (Some(least), Some(most)) if least > most => Some("at_least is above at_most"),
+            (Some(bound), _) | (_, Some(bound)) if !bound.is_finite() => Some("the bound is no number"),
+            _ if self.metric.whole_run() && self.after.is_some() => Some("this figure is of the whole run"),
+            _ => None,
+        }
+    }
+}
+
+/// A figure as far as it is known.
+#[derive(Clone, Debug, PartialEq, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Measured {
+    /// That.
+    Value(f64),
+    /// At least that: it was not seen to the end.
+    AtLeast(f64),
+    /// Not at all, and why.
+    Unknown(String),
+}
+
+impl Measured {
+    /// The value, where it is known.
+    pub fn value(&self) -> Option<f64> {
+        match self {
+            Measured::Value(value) => Some(*value),
+            Measured::AtLeast(_) | Measured::Unknown(_) => None,
+        }
+    }
+}
+
+impl std::fmt::Display for Measured {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        match self {
+            Measured::Value(value) => write!(f, "{value:.4}"),
+            Measured::AtLeast(value) => write!(f, "at least {value:.4}, the run ended too early"),
+            Measured::Unknown(why) => write!(f, "not known: {why}"),
+        }
+    }
+}
+
 /// How an expectation turned out.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
 #[serde(rename_all = "snake_case")]
@@ -57,12 +137,44 @@
 }
 
 /// An expectation with its outcome.
-#[derive(Clone, Debug, Serialize)]
+#[derive(Clone, Debug, PartialEq, Serialize)]
 pub struct Judged {
     /// What was expected.
     pub expected: Expectation,
     /// How it turned out.
     pub outcome: Outcome,
-    /// What was seen, in words.
-    pub seen: String,
+    /// What was seen.
+    pub seen: Measured,
+}
+
+/// Holds a figure against what was expected of it. A figure that is only known to be above something fails what lies
+/// below, and proves nothing of the rest.
+pub(crate) fn hold(expected: &Expectation, seen: Measured) -> Judged {
+    let bounds = [expected.at_least.map(|b| least(&seen, b)), expected.at_most.map(|b| most(&seen, b))];
+    let outcomes: Vec<Outcome> = bounds.into_iter().flatten().collect();
+    let outcome = if outcomes.contains(&Outcome::Failed) {
+        Outcome::Failed
+    } else if outcomes.is_empty() || outcomes.contains(&Outcome::ProvedNothing) {
+        Outcome::ProvedNothing
+    } else {
+        Outcome::Ok
+    };
+    Judged { expected: expected.clone(), outcome, seen }
+}
+
+fn least(seen: &Measured, bound: f64) -> Outcome {
+    match seen {
+        Measured::Value(value) | Measured::AtLeast(value) if *value >= bound => Outcome::Ok,
+        Measured::Value(_) => Outcome::Failed,
+        Measured::AtLeast(_) | Measured::Unknown(_) => Outcome::ProvedNothing,
+    }
+}
+
+fn most(seen: &Measured, bound: f64) -> Outcome {
+    match seen {
+        Measured::Value(value) if *value <= bound => Outcome::Ok,
+        Measured::AtLeast(value) if *value <= bound => Outcome::ProvedNothing,
+        Measured::Value(_) | Measured::AtLeast(_) => Outcome::Failed,
+        Measured::Unknown(_) => Outcome::ProvedNothing,
+    }
 }
--- /dev/null
+++ b/crates/lab/src/judge/facts.rs
@@ -0,0 +1,352 @@
+//! A run's samples, sorted by what they tell: what every other part of the judge reads. Borrows the samples.
+
+use crate::samples::{
+    BoxEnd, ClassInfo, Effect, PowerInfo, ProcessEvent, Sample, Touched, TryEnd, MAX_SAMPLES,
+};
+use std::collections::BTreeMap;
+
+/// Microseconds in a second.
+pub(crate) const SECOND_US: u64 = 1_000_000;
+
+/// A try, as its client tells it.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Try<'a> {
+    pub request: u64,
+    pub nth: u8,
+    pub id: &'a str,
+    pub class: u32,
+    pub tenant: Option<u32>,
+    pub zone: u32,
+    pub proxy: Option<u32>,
+    pub asked_us: u64,
+    pub ended_us: u64,
+    pub deadline_us: u64,
+    pub end: TryEnd,
+}
+
+impl Try<'_> {
+    /// Served while that was of use.
+    pub fn served_in_time(&self) -> bool {
+        self.end == TryEnd::Served && self.ended_us <= self.deadline_us
+    }
+}
+
+/// A run of a request, as its box tells it.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct BoxRun<'a> {
+    pub at_box: u32,
+    pub boot: u32,
+    pub id: &'a str,
+    pub key: Option<&'a str>,
+    pub class: u32,
+    pub came_us: u64,
+    pub began_us: u64,
+    pub ended_us: Option<u64>,
+    pub end: BoxEnd,
+    pub work_ms: f64,
+}
+
+/// What became of a request in the end.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Fate {
+    Served,
+    Late,
+    Refused,
+    Failed,
+    Broken,
+    Silent,
+    NotTaken,
+}
+
+/// A request with all its tries.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Request {
+    pub number: u64,
+    pub class: u32,
+    pub tenant: Option<u32>,
+    pub zone: u32,
+    /// When its first try was asked for.
+    pub asked_us: u64,
+    /// From there to the end of the try that was served; for others, of the last.
+    pub took_us: u64,
+    pub fate: Fate,
+}
+
+/// A fault of the timeline.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct FaultAt<'a> {
+    pub at_us: u64,
+    pub label: &'a str,
+    pub ends_us: Option<u64>,
+    pub touches: &'a Touched,
+}
+
+/// A box, as the experiment made it.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct BoxFacts<'a> {
+    pub name: &'a str,
+    pub bay: u32,
+    pub power: Option<PowerInfo>,
+}
+
+/// A start of a box.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct BootAt {
+    pub at_us: Option<u64>,
+    pub died_us: Option<u64>,
+}
+
+/// A second at a box.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct BoxSecond {
+    pub at_us: u64,
+    pub at_box: u32,
+    pub open: u32,
+    pub handshakes: u32,
+    pub requests: u32,
+}
+
+/// What a proxy was told of a box.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct ToldOf<'a> {
+    pub at_us: u64,
+    pub proxy: u32,
+    pub at_box: u32,
+    pub state: &'a str,
+}
+
+/// A second of the lab.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct LabSecond {
+    pub at_us: u64,
+    pub late_us: u64,
+    pub cpu_ms: u64,
+}
+
+/// What was run.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Header<'a> {
+    pub name: &'a str,
+    pub seed: u64,
+    pub proxies: u32,
+    pub classes: &'a [ClassInfo],
+    pub cores: u32,
+    pub build: &'a str,
+    pub command: &'a str,
+    pub zones: &'a [String],
+    pub lasts_us: u64,
+}
+
+/// All that is known of a run.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Facts<'a> {
+    pub header: Option<Header<'a>>,
+    pub boxes: BTreeMap<u32, BoxFacts<'a>>,
+    pub boots: BTreeMap<(u32, u32), BootAt>,
+    pub tries: Vec<Try<'a>>,
+    /// By when they came whole.
+    pub runs: Vec<BoxRun<'a>>,
+    /// By first try.
+    pub requests: Vec<Request>,
+    /// By time.
+    pub faults: Vec<FaultAt<'a>>,
+    pub processes: Vec<(u64, u32, ProcessEvent)>,
+    pub box_seconds: Vec<BoxSecond>,
+    pub list_seconds: Vec<(u64, u32)>,
+    /// Time, name, bytes, bytes while cut.
+    pub link_seconds: Vec<(u64, &'a str, u64, u64)>,
+    /// By time.
+    pub told: Vec<ToldOf<'a>>,
+    pub lab: Vec<LabSecond>,
+    /// Tries, served, refused by the clients' own count.
+    pub totals: Option<[u64; 3]>,
+    /// Time, proxy, line; by time.
+    pub logs: Vec<(u64, u32, &'a str)>,
+    pub voids: Vec<&'a str>,
+    /// Places in `tries` by id.
+    pub by_id: BTreeMap<&'a str, usize>,
+    /// Whole seconds of the run.
+    pub seconds: usize,
+}
+
+impl<'a> Facts<'a> {
+    /// Sorts the samples.
+    pub fn of(samples: &'a [Sample]) -> Facts<'a> {
+        let mut facts = Facts::default();
+        for sample in samples.iter().take(MAX_SAMPLES) {
+            facts.take(sample);
+        }
+        facts.runs.sort_by_key(|run| run.began_us);
+        facts.faults.sort_by_key(|fault| fault.at_us);
+        facts.told.sort_by_key(|told| told.at_us);
+        facts.logs.sort_by_key(|log| log.0);
+        facts.processes.sort_by_key(|event| event.0);
+        facts.by_id = facts.tries.iter().enumerate().map(|(place, t)| (t.id, place)).collect();
+        facts.requests = requests(&facts.tries);
+        facts.seconds = whole_seconds(facts.header.map_or(0, |h| h.lasts_us), &facts.requests);
+        facts
+    }
+
+    fn take(&mut self, sample: &'a Sample) {
+        match sample {
+            Sample::Run { .. } => self.header = self.header.or(header(sample)),
+            Sample::Try { .. } => self.tries.extend(a_try(sample)),
+            Sample::BoxRun { .. } => self.runs.extend(a_run(sample)),
+            Sample::Box { at_box, name, bay, power, .. } => {
+                self.boxes.insert(*at_box, BoxFacts { name, bay: *bay, power: *power });
+            }
+            Sample::Boot { at_box, boot, at_us, died_us } => {
+                self.boots.insert((*at_box, *boot), BootAt { at_us: *at_us, died_us: *died_us });
+            }
+            Sample::Process { at_us, proxy, what } => self.processes.push((*at_us, *proxy, *what)),
+            Sample::Fault { at_us, label, ends_us, touches } => {
+                self.faults.push(FaultAt { at_us: *at_us, label, ends_us: *ends_us, touches });
+            }
+            Sample::Told { at_us, proxy, at_box, state } => {
+                self.told.push(ToldOf { at_us: *at_us, proxy: *proxy, at_box: *at_box, state });
+            }
+            Sample::Log { at_us, proxy, line } => self.logs.push((*at_us, *proxy, line)),
+            Sample::Void { reason } => self.voids.push(reason),
+            _ => self.take_count(sample),
+        }
+    }
+
+    fn take_count(&mut self, sample: &'a Sample) {
+        match sample {
+            Sample::BoxSecond { at_us, at_box, open, handshakes, requests } => {
+                let (at_us, at_box, open) = (*at_us, *at_box, *open);
+                let (handshakes, requests) = (*handshakes, *requests);
+                self.box_seconds.push(BoxSecond { at_us, at_box, open, handshakes, requests });
+            }
+            Sample::ListSecond { at_us, calls } => self.list_seconds.push((*at_us, *calls)),
+            Sample::LinkSecond { at_us, link, passed_bytes, passed_while_cut } => {
+                self.link_seconds.push((*at_us, link, *passed_bytes, *passed_while_cut));
+            }
+            Sample::Lab { at_us, late_us, cpu_ms, fleet_cpu_ms } => {
+                let cpu_ms = cpu_ms.saturating_add(*fleet_cpu_ms);
+                self.lab.push(LabSecond { at_us: *at_us, late_us: *late_us, cpu_ms });
+            }
+            Sample::Totals { tries, served, refused } => self.totals = Some([*tries, *served, *refused]),
+            _ => {}
+        }
+    }
+
+    /// The class of that number.
+    pub fn class(&self, number: u32) -> Option<&'a ClassInfo> {
+        self.header?.classes.get(number as usize)
+    }
+
+    /// What a second run of that class would do; of one that is not known, harm.
+    pub fn effect(&self, class: u32) -> Effect {
+        self.class(class).map_or(Effect::Unsafe, |class| class.effect)
+    }
+
+    /// The try that went under that id.
+    pub fn try_of(&self, id: &str) -> Option<&Try<'a>> {
+        self.by_id.get(id).and_then(|place| self.tries.get(*place))
+    }
+
+    /// How a box is called.
+    pub fn box_name(&self, at_box: u32) -> String {
+        self.boxes.get(&at_box).map_or_else(|| format!("box {at_box}"), |b| b.name.to_owned())
+    }
+
+    /// How late the lab's own pacing ran at worst in the seconds of that span.
+    pub fn lab_late_us(&self, from_us: u64, to_us: u64) -> u64 {
+        let inside = |s: &&LabSecond| s.at_us <= to_us && from_us < s.at_us.saturating_add(SECOND_US);
+        self.lab.iter().filter(inside).map(|s| s.late_us).max().unwrap_or(0)
+    }
+}
+
+fn header(sample: &Sample) -> Option<Header<'_>> {
+    let Sample::Run { name, seed, proxies, classes, cores, build, command, zones, lasts_us, .. } = sample
+    else {
+        return None;
+    };
+    let (seed, proxies, cores, lasts_us) = (*seed, *proxies, *cores, *lasts_us);
+    Some(Header { name, seed, proxies, classes, cores, build, command, zones, lasts_us })
+}
+
+fn a_try(sample: &Sample) -> Option<Try<'_>> {
+    let Sample::Try { request, nth, id, class, tenant, zone, proxy, asked_us, ended_us, deadline_us, end } =
+        sample
+    else {
+        return None;
+    };
+    Some(Try {
+        request: *request,
+        nth: *nth,
+        id,
+        class: *class,
+        tenant: *tenant,
+        zone: *zone,
+        proxy: *proxy,
+        asked_us: *asked_us,
+        ended_us: *ended_us,
+        deadline_us: *deadline_us,
+        end: *end,
+    })
+}
+
+fn a_run(sample: &Sample) -> Option<BoxRun<'_>> {
+    let Sample::BoxRun { at_box, boot, id, key, class, came_us, began_us, ended_us, end, work_ms, .. } =
+        sample
+    else {
+        return None;
+    };
+    Some(BoxRun {
+        at_box: *at_box,
+        boot: *boot,
+        id,
+        key: key.as_deref(),
+        class: *class,
+        came_us: came_us.unwrap_or(*began_us),
+        began_us: *began_us,
+        ended_us: *ended_us,
+        end: *end,
+        work_ms: *work_ms,
+    })
+}
+
+/// Puts tries together to requests. Served is one that had a try served in its time; what else became of it is how
+/// its last try ended.
+fn requests(tries: &[Try<'_>]) -> Vec<Request> {
+    let mut by_request: BTreeMap<u64, Vec<&Try<'_>>> = BTreeMap::new();
+    for one in tries {
+        by_request.entry(one.request).or_default().push(one);
+    }
+    let mut requests: Vec<Request> =
+        by_request.into_iter().filter_map(|(number, tries)| request(number, tries)).collect();
+    requests.sort_by_key(|r| r.asked_us);
+    requests
+}
+
+fn request(number: u64, mut tries: Vec<&Try<'_>>) -> Option<Request> {
+    tries.sort_by_key(|t| t.nth);
+    let first = tries.first()?;
+    let last = tries.iter().find(|t| t.served_in_time()).or(tries.last())?;
+    let fate = match last.end {
+        TryEnd::Served if last.served_in_time() => Fate::Served,
+        TryEnd::Served => Fate::Late,
+        TryEnd::Refused { .. } => Fate::Refused,
+        TryEnd::Failed { .. } => Fate::Failed,
+        TryEnd::Broken => Fate::Broken,
+        TryEnd::Silent => Fate::Silent,
+        TryEnd::NotTaken => Fate::NotTaken,
+    };
+    let (class, tenant, zone, asked_us) = (first.class, first.tenant, first.zone, first.asked_us);
+    let took_us = last.ended_us.saturating_sub(asked_us);
+    Some(Request { number, class, tenant, zone, asked_us, took_us, fate })
+}
+
+/// Seconds that are looked at, at most: a day's run. More would take memory for nothing.
+const MAX_SECONDS: u64 = 86_400;
+
+/// Whole seconds in which requests were asked for. Where the run's length is not known, its last second counts if the
+/// last request came in its last tenth.
+fn whole_seconds(lasts_us: u64, requests: &[Request]) -> usize {
+    let last_us = requests.last().map_or(0, |r| r.asked_us.saturating_add(1));
+    let seconds =
+        if lasts_us > 0 { lasts_us / SECOND_US } else { last_us.saturating_add(SECOND_US / 10) / SECOND_US };
+    seconds.min(MAX_SECONDS) as usize
+}
--- /dev/null
+++ b/crates/lab/src/judge/findings.rs
@@ -0,0 +1,272 @@
+//! All that a run showed, put together. Nothing here is an opinion of it: that is in [`super::expect`].
+
+use super::boxes::{self, AllBoxes, OneBox, Peak};
+use super::check::{Check, Kind};
+use super::facts::{Facts, FaultAt, Request, SECOND_US};
+use super::recovery::{self, Full, Recovery};
+use super::service::{Counts, Second, Series};
+use super::standing::{self, Band};
+use super::waste::{self, Waste};
+use super::{accounts, excerpt, met, rules};
+use serde::Serialize;
+use std::collections::BTreeMap;
+
+/// The aftermath of a fault is from the second in which it was done to so many seconds after its end, or after its
+/// moment where it is not taken back. Figures after a fault are over this, so that runs can be compared.
+pub const AFTER_S: usize = 30;
+
+/// Zones, and tenants, that are shown apart, those with most requests first.
+pub const MAX_GROUPS: usize = 64;
+
+/// By what requests are put together.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum By {
+    /// Class.
+    Class,
+    /// The client's zone.
+    Zone,
+    /// Tenant.
+    Tenant,
+}
+
+/// Requests of one class, zone or tenant.
+#[derive(Clone, Debug, PartialEq, Serialize)]
+pub struct Group {
+    /// Which of these.
+    pub by: By,
+    /// Its number.
+    pub number: u32,
+    /// Its name.
+    pub name: String,
+    /// Over the run.
+    pub total: Counts,
+    /// Median latency over the run.
+    pub p50_us: Option<u64>,
+    /// 99th percentile over the run.
+    pub p99_us: Option<u64>,
+    /// By second.
+    pub seconds: Vec<Second>,
+}
+
+/// A fault and what came of it.
+#[derive(Clone, Debug, PartialEq, Serialize)]
+pub struct FaultFound {
+    /// Its label.
+    pub label: String,
+    /// When it was done.
+    pub at_us: u64,
+    /// When it was taken back.
+    pub ends_us: Option<u64>,
+    /// Why it met no request, if so.
+    pub unmet: Option<String>,
+    /// The time to full service, for all requests.
+    pub recovery: Recovery,
+    /// The same by class and zone alone: group, name, when.
+    pub parts: Vec<(By, String, Full)>,
+    /// Its aftermath: first second, and the first after it.
+    pub aftermath_s: (usize, usize),
+    /// What became of the requests of its aftermath.
+    pub counts: Counts,
+    /// The worst second of its aftermath and the share served in it.
+    pub worst: Option<(usize, f64)>,
+    /// Of the requests of its aftermath that would have been served at the share of before, those that were not.
+    pub share_lost: Option<f64>,
+    /// Handshakes in a second at the box with most.
+    pub handshakes: Option<Peak>,
+    /// Calls of the list service in a second.
+    pub list_calls: Option<Peak>,
+}
+
+/// All that a run showed.
+#[derive(Clone, Debug, Default, PartialEq, Serialize)]
+pub struct Findings {
+    /// The experiment.
+    pub name: String,
+    /// Its seed.
+    pub seed: u64,
+    /// What was built.
+    pub build: String,
+    /// The command that repeats the run.
+    pub command: String,
+    /// Over all whole seconds.
+    pub total: Counts,
+    /// Median latency over the run.
+    pub p50_us: Option<u64>,
+    /// 99th percentile over the run.
+    pub p99_us: Option<u64>,
+    /// Tries of clients.
+    pub tries: u64,
+    /// Requests, also those of a last second that is not whole.
+    pub requests: u64,
+    /// By second.
+    pub seconds: Vec<Second>,
+    /// By class, zone and tenant.
+    pub groups: Vec<Group>,
+    /// In order of time.
+    pub faults: Vec<FaultFound>,
+    /// Boxes and list service, by second.
+    pub box_seconds: Vec<AllBoxes>,
+    /// Each box.
+    pub boxes: Vec<OneBox>,
+    /// What the boxes did for nothing.
+    pub waste: Waste,
+    /// Rules, then accounts.
+    pub checks: Vec<Check>,
+    /// What each process did when.
+    pub bands: Vec<Band>,
+}
+
+impl Findings {
+    /// What boxes were sent for each request; none without requests.
+    pub fn attempts_per_request(&self) -> Option<f64> {
+        (self.requests > 0).then(|| self.waste.sent as f64 / self.requests as f64)
+    }
+
+    /// The check of that name.
+    pub fn check(&self, name: &str) -> Option<&Check> {
+        self.checks.iter().find(|check| check.name == name)
+    }
+
+    /// Breaches of all rules, or of all accounts.
+    pub fn broken(&self, kind: Kind) -> u64 {
+        self.checks.iter().filter(|check| check.kind == kind).map(|check| check.broken).sum()
+    }
+}
+
+/// Puts all together.
+pub(crate) fn find(facts: &Facts<'_>) -> Findings {
+    let classes = facts.header.map_or(&[][..], |h| h.classes);
+    let series = Series::of(facts.requests.iter(), classes, facts.seconds);
+    let box_seconds = boxes::seconds(facts);
+    let bands = standing::bands(facts, end_us(facts));
+    let mut checks = rules::all(facts, &bands);
+    checks.extend(accounts::all(facts));
+    excerpt::add(&mut checks, facts);
+    let parts = parts(facts);
+    Findings {
+        name: facts.header.map_or("", |h| h.name).into(),
+        seed: facts.header.map_or(0, |h| h.seed),
+        build: facts.header.map_or("", |h| h.build).into(),
+        command: facts.header.map_or("", |h| h.command).into(),
+        total: series.total(0, facts.seconds),
+        p50_us: series.pooled_us(0..facts.seconds, 0.5),
+        p99_us: series.pooled_us(0..facts.seconds, 0.99),
+        tries: facts.tries.len() as u64,
+        requests: facts.requests.len() as u64,
+        seconds: series.seconds(),
+        faults: faults(facts, &series, &parts, &box_seconds),
+        groups: parts.into_iter().map(|part| part.group(facts.seconds)).collect(),
+        boxes: boxes::each(facts),
+        box_seconds,
+        waste: waste::waste(facts),
+        checks,
+        bands,
+    }
+}
+
+/// The run's end: the last thing that is known of.
+fn end_us(facts: &Facts<'_>) -> u64 {
+    let tries = facts.tries.iter().map(|one| one.ended_us);
+    let processes = facts.processes.iter().map(|event| event.0);
+    let lasts_us = facts.header.map_or(0, |h| h.lasts_us);
+    tries.chain(processes).chain([lasts_us]).max().unwrap_or(0)
+}
+
+/// A group with its latencies.
+struct Part {
+    by: By,
+    number: u32,
+    name: String,
+    series: Series,
+}
+
+impl Part {
+    fn group(self, seconds: usize) -> Group {
+        Group {
+            by: self.by,
+            number: self.number,
+            name: self.name,
+            total: self.series.total(0, seconds),
+            p50_us: self.series.pooled_us(0..seconds, 0.5),
+            p99_us: self.series.pooled_us(0..seconds, 0.99),
+            seconds: self.series.seconds(),
+        }
+    }
+}
+
+fn parts(facts: &Facts<'_>) -> Vec<Part> {
+    let mut parts = Vec::new();
+    for (by, key) in [
+        (By::Class, (|r: &Request| Some(r.class)) as fn(&Request) -> Option<u32>),
+        (By::Zone, |r: &Request| Some(r.zone)),
+        (By::Tenant, |r: &Request| r.tenant),
+    ] {
+        let mut requests: BTreeMap<u32, Vec<&Request>> = BTreeMap::new();
+        for request in &facts.requests {
+            if let Some(number) = key(request) {
+                requests.entry(number).or_default().push(request);
+            }
+        }
+        let mut requests: Vec<_> = requests.into_iter().collect();
+        requests.sort_by_key(|(_, requests)| std::cmp::Reverse(requests.len()));
+        requests.truncate(MAX_GROUPS);
+        requests.sort_by_key(|(number, _)| *number);
+        let classes = facts.header.map_or(&[][..], |h| h.classes);
+        for (number, requests) in requests {
+            let series = Series::of(requests.into_iter(), classes, facts.seconds);
+            parts.push(Part { by, number, name: name(facts, by, number), series });
+        }
+    }
+    parts
+}
+
+fn name(facts: &Facts<'_>, by: By, number: u32) -> String {
+    let known = match by {
+        By::Class => facts.class(number).map(|c| c.name.clone()),
+        By::Zone => facts.header.and_then(|h| h.zones.get(number as usize)).cloned(),
+        By::Tenant => None,
+    };
+    known.unwrap_or_else(|| number.to_string())
+}
+
+/// First second, and the first after it.
+fn aftermath_s(fault: &FaultAt<'_>, seconds: usize) -> (usize, usize) {
+    let from = (fault.at_us / SECOND_US) as usize;
+    let end_us = fault.ends_us.unwrap_or(fault.at_us).max(fault.at_us);
+    let to = (end_us / SECOND_US) as usize;
+    (from, to.saturating_add(AFTER_S).min(seconds))
+}
+
+fn faults(facts: &Facts<'_>, series: &Series, parts: &[Part], box_seconds: &[AllBoxes]) -> Vec<FaultFound> {
+    let aftermaths: Vec<_> = facts.faults.iter().map(|fault| aftermath_s(fault, facts.seconds)).collect();
+    let ends: Vec<usize> = aftermaths.iter().map(|a| a.1).collect();
+    let recoveries = recovery::recoveries(series, &facts.faults, &ends);
+    let apart = parts.iter().filter(|part| part.by != By::Tenant);
+    let apart: Vec<_> =
+        apart.map(|part| (part, recovery::recoveries(&part.series, &facts.faults, &ends))).collect();
+    let mut found = Vec::new();
+    for (n, (fault, recovery)) in facts.faults.iter().zip(recoveries).enumerate() {
+        let aftermath_s = aftermaths[n];
+        let counts = series.total(aftermath_s.0, aftermath_s.1);
+        let before = recovery.before;
+        let expected = before.map(|b| b.share * counts.requests as f64).filter(|expected| *expected > 0.0);
+        found.push(FaultFound {
+            label: fault.label.into(),
+            at_us: fault.at_us,
+            ends_us: fault.ends_us,
+            unmet: met::unmet(facts, fault),
+            parts: apart.iter().map(|(p, r)| (p.by, p.name.clone(), r[n].full)).collect(),
+            aftermath_s,
+            counts,
+            worst: series.worst(aftermath_s.0, aftermath_s.1),
+            share_lost: expected.map(|expected| (1.0 - counts.served as f64 / expected).max(0.0)),
+            handshakes: boxes::peak(box_seconds, before.as_ref(), aftermath_s, |s| {
+                u64::from(s.most_handshakes)
+            }),
+            list_calls: boxes::peak(box_seconds, before.as_ref(), aftermath_s, |s| s.list_calls),
+            recovery,
+        });
+    }
+    found
+}
--- /dev/null
+++ b/crates/lab/src/judge/rules.rs
@@ -0,0 +1,282 @@
+//! The product's rules over a run. Where a rule of the test kit says the same, it is asked: [`shaletide_testkit::checks`].
+
+use super::check::{Check, Kind};
+use super::facts::{BoxRun, Facts, Try};
+use super::standing::Band;
+use crate::samples::{BoxEnd, Effect, PowerInfo, TryEnd, MAX_SAMPLES};
+use shaletide_base::{Micros, Time};
+use shaletide_testkit::checks::{self, Push, Violation};
+use shaletide_testkit::{Boot, BoxInfo, Ended, Ledger, Power, Record, Repeat};
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+
+/// What an answer may take beyond its time: two ways through links, and a busy machine. What the lab itself ran late
+/// comes on top.
+pub const ANSWER_GRACE_US: u64 = 100_000;
+
+/// How long after a proxy was told that a box drains it may still send to it.
+pub const DRAIN_GRACE_US: u64 = 2_000_000;
+
+/// What a cold box may be sent: three times what it can do, in any second, and a tenth for chance.
+pub const PUSH: Push = Push { multiple: 3.0, window: Micros(1_000_000), slack: 0.1 };
+
+/// All rules over a run, in a fixed order.
+pub(crate) fn all(facts: &Facts<'_>, bands: &[Band]) -> Vec<Check> {
+    let ledger = ledger(facts);
+    vec![
+        one_answer(facts),
+        answered_in_time(facts, bands),
+        unsafe_once(facts, &ledger),
+        keyed_in_bay_and_window(facts, &ledger),
+        refused_never_ran(facts),
+        drained_left_alone(facts),
+        cold_not_pushed_over(facts, &ledger),
+        answers_from_boxes(facts),
+    ]
+}
+
+/// Each try has one end.
+fn one_answer(facts: &Facts<'_>) -> Check {
+    let mut check = Check::new("one_answer", Kind::Rule);
+    let mut seen = BTreeSet::new();
+    for one in &facts.tries {
+        check.judged += 1;
+        if !seen.insert((one.request, one.nth)) {
+            check.breach(Some(one.ended_us), one.proxy, || format!("try {} had a second end", one.id));
+        }
+    }
+    check
+}
+
+/// A proxy that is there answers within the class's time, and within the time that the client gave if that is longer.
+/// Judged where the client waited for at least [`ANSWER_GRACE_US`] more than that and the proxy was neither stopped
+/// nor cut off from its clients meanwhile.
+fn answered_in_time(facts: &Facts<'_>, bands: &[Band]) -> Check {
+    let mut check = Check::new("answered_in_time", Kind::Rule);
+    for one in &facts.tries {
+        let Some(proxy) = one.proxy else { continue };
+        let class_us = facts.class(one.class).map_or(0, |c| c.deadline_us);
+        let until_us = one.deadline_us.max(one.asked_us.saturating_add(class_us));
+        let answered = one.end.answered();
+        let late = one.ended_us > until_us.saturating_add(ANSWER_GRACE_US);
+        let there = bands.get(proxy as usize).is_some_and(|b| b.answers(one.asked_us, one.ended_us));
+        let judged = answered || (late && one.end == TryEnd::Silent);
+        if !judged || !there || cut_off(facts, proxy, one) {
+            continue;
+        }
+        check.judged += 1;
+        let lab_us = if late { facts.lab_late_us(one.asked_us, one.ended_us) } else { 0 };
+        let over_us = one.ended_us.saturating_sub(until_us);
+        if over_us > ANSWER_GRACE_US + lab_us {
+            let how = if answered { "was answered" } else { "was still not answered" };
+            let what = || format!("try {} {how} {:.3} s after its time", one.id, over_us as f64 / 1e6);
+            check.breach(Some(one.ended_us), Some(proxy), what);
+        }
+    }
+    check
+}
+
+fn cut_off(facts: &Facts<'_>, proxy: u32, one: &Try<'_>) -> bool {
+    facts.faults.iter().any(|fault| {
+        let ends_us = fault.ends_us.unwrap_or(u64::MAX);
+        fault.touches.clients_of.contains(&proxy) && fault.at_us <= one.ended_us && one.asked_us <= ends_us
+    })
+}
+
+/// No request that is unsafe to repeat runs twice, over all its tries and all boxes.
+fn unsafe_once(facts: &Facts<'_>, ledger: &Ledger) -> Check {
+    let mut check = Check::new("unsafe_once", Kind::Rule);
+    check.judged = count(ledger, Repeat::Unsafe);
+    blame(&mut check, facts, checks::unsafe_ran_once(ledger));
+    check
+}
+
+/// A keyed request runs again only in the bay of its first run, and within its class's window.
+fn keyed_in_bay_and_window(facts: &Facts<'_>, ledger: &Ledger) -> Check {
+    let mut check = Check::new("keyed_in_bay_and_window", Kind::Rule);
+    check.judged = count(ledger, Repeat::Keyed);
+    let classes = facts.header.map_or(&[][..], |h| h.classes);
+    let window = |name: &str| {
+        let class = classes.iter().find(|c| c.name == name);
+        Micros(class.map_or(0, |c| c.window_us))
+    };
+    blame(&mut check, facts, checks::keyed_ran_in_one_bay(ledger, window));
+    check
+}
+
+/// What is refused with 429 or 503, so that its client may come again, never ran. Safe requests are not held to it, nor
+/// keyed ones where all boxes share one bay: those do no harm by running again.
+fn refused_never_ran(facts: &Facts<'_>) -> Check {
+    let mut check = Check::new("refused_never_ran", Kind::Rule);
+    let bays: BTreeSet<u32> = facts.boxes.values().map(|b| b.bay).collect();
+    let mut ran: BTreeMap<&str, &BoxRun<'_>> = BTreeMap::new();
+    for run in facts.runs.iter().filter(|run| run.end.ran() && !run.id.is_empty()) {
+        ran.entry(run.id).or_insert(run);
+    }
+    for one in &facts.tries {
+        let TryEnd::Refused { status } = one.end else { continue };
+        let held = match facts.effect(one.class) {
+            Effect::Safe => false,
+            Effect::Keyed => bays.len() > 1,
+            Effect::Unsafe => true,
+        };
+        if !held {
+            continue;
+        }
+        check.judged += 1;
+        if let Some(run) = ran.get(one.id) {
+            let at = facts.box_name(run.at_box);
+            let what = || format!("try {} was refused with {status} and had run at {at}", one.id);
+            check.breach(Some(one.ended_us), one.proxy, what);
+        }
+    }
+    check
+}
+
+/// Nothing new comes to a box more than [`DRAIN_GRACE_US`] after the proxy that sends it was told that the box drains or
+/// is gone, until that proxy is told otherwise or the box starts anew. Runs that went through no known proxy are not
+/// judged.
+fn drained_left_alone(facts: &Facts<'_>) -> Check {
+    let mut check = Check::new("drained_left_alone", Kind::Rule);
+    let mut told: BTreeMap<(u32, u32), Vec<(u64, bool)>> = BTreeMap::new();
+    for news in &facts.told {
+        let unwanted = news.state == "draining" || news.state == "gone";
+        told.entry((news.proxy, news.at_box)).or_default().push((news.at_us, unwanted));
+    }
+    for run in &facts.runs {
+        let Some(proxy) = facts.try_of(run.id).and_then(|one| one.proxy) else { continue };
+        let Some(news) = told.get(&(proxy, run.at_box)) else { continue };
+        check.judged += 1;
+        let Some(since_us) = unwanted_since(news, run.came_us) else { continue };
+        let boot = facts.boots.get(&(run.at_box, run.boot));
+        // A start that is not told of is one that may have come after the news.
+        let started_before = boot.map_or(run.boot == 0, |b| b.at_us.is_none_or(|at| at <= since_us));
+        let late_us = run.came_us.saturating_sub(since_us);
+        if started_before && late_us > DRAIN_GRACE_US {
+            let name = facts.box_name(run.at_box);
+            let late_s = late_us as f64 / 1e6;
+            let what =
+                || format!("{} came to {name} {late_s:.3} s after proxy {proxy} was told of its end", run.id);
+            check.breach(Some(run.came_us), Some(proxy), what);
+        }
+    }
+    check
+}
+
+/// Since when a box was not wanted, at that moment: from the first of the news that say so without a break.
+fn unwanted_since(news: &[(u64, bool)], at_us: u64) -> Option<u64> {
+    let before = news.iter().take_while(|(told_us, _)| *told_us <= at_us);
+    before.fold(None, |since, (told_us, unwanted)| unwanted.then(|| since.unwrap_or(*told_us)))
+}
+
+/// No cold box is sent more than [`PUSH`] allows. Judged are the starts of boxes whose power is known.
+fn cold_not_pushed_over(facts: &Facts<'_>, ledger: &Ledger) -> Check {
+    let mut check = Check::new("cold_not_pushed_over", Kind::Rule);
+    let known = |at_box: &u32| facts.boxes.get(at_box).is_some_and(|b| b.power.is_some());
+    let cold = facts.boots.iter().filter(|((at_box, _), boot)| boot.at_us.is_some() && known(at_box));
+    check.judged = cold.count() as u64;
+    blame(&mut check, facts, checks::cold_not_pushed_over(ledger, PUSH));
+    check
+}
+
+/// Every try that was served was served by a box, under its id.
+fn answers_from_boxes(facts: &Facts<'_>) -> Check {
+    let mut check = Check::new("answers_from_boxes", Kind::Rule);
+    let served = facts.runs.iter().filter(|run| run.end == BoxEnd::Served);
+    let served: BTreeSet<&str> = served.map(|run| run.id).collect();
+    for one in facts.tries.iter().filter(|one| one.end == TryEnd::Served) {
+        check.judged += 1;
+        if !served.contains(one.id) {
+            check.breach(Some(one.ended_us), one.proxy, || format!("try {} was served by no box", one.id));
+        }
+    }
+    check
+}
+
+fn count(ledger: &Ledger, repeat: Repeat) -> u64 {
+    ledger.records.iter().filter(|r| r.repeat == repeat && r.ran()).count() as u64
+}
+
+/// Notes what a rule of the test kit found. Places in the ledger are places in `facts.runs`.
+fn blame(check: &mut Check, facts: &Facts<'_>, found: Vec<Violation>) {
+    for violation in found {
+        let last = violation.records.last().and_then(|place| facts.runs.get(*place));
+        let proxy = last.and_then(|run| facts.try_of(run.id)).and_then(|one| one.proxy);
+        check.breach(last.map(|run| run.began_us), proxy, || violation.what);
+    }
+}
+
+/// The runs as the test kit's rules want them. A run is named by its request, so that all tries of it are one.
+fn ledger(facts: &Facts<'_>) -> Ledger {
+    let places: BTreeMap<u32, usize> = facts.boxes.keys().enumerate().map(|(n, b)| (*b, n)).collect();
+    let boxes = facts.boxes.iter().map(|(number, b)| BoxInfo {
+        name: b.name.to_owned(),
+        bay: u64::from(b.bay),
+        power: b.power.map_or(Power::warm(1, 1.0), power),
+        boots: boots(facts, *number),
+    });
+    let mut ledger = Ledger { boxes: boxes.collect(), ..Ledger::new(MAX_SAMPLES) };
+    let classes = facts.header.map_or(&[][..], |h| h.classes);
+    let names: Vec<Arc<str>> = classes.iter().map(|c| Arc::from(&*c.name)).collect();
+    for run in &facts.runs {
+        let class = names.get(run.class as usize).cloned().unwrap_or_else(|| Arc::from("unknown"));
+        let at_box = places.get(&run.at_box).copied().unwrap_or(usize::MAX);
+        ledger.begin(record(facts, run, at_box, class));
+    }
+    ledger
+}
+
+fn record(facts: &Facts<'_>, run: &BoxRun<'_>, at_box: usize, class: Arc<str>) -> Record {
+    let repeat = match facts.effect(run.class) {
+        Effect::Safe => Repeat::Safe,
+        Effect::Keyed => Repeat::Keyed,
+        Effect::Unsafe => Repeat::Unsafe,
+    };
+    let id = match facts.try_of(run.id) {
+        Some(one) => format!("request {}", one.request).into(),
+        None => run.id.into(),
+    };
+    let ended = ended(run.end).map(|how| (Time(run.ended_us.unwrap_or(run.began_us)), how));
+    Record {
+        at_box,
+        boot: run.boot as usize,
+        id,
+        key: run.key.map(Into::into),
+        class,
+        repeat,
+        came: Time(run.came_us),
+        began: Time(run.began_us),
+        ended,
+        draining: None,
+        work_ms: run.work_ms,
+    }
+}
+
+fn boots(facts: &Facts<'_>, at_box: u32) -> Vec<Boot> {
+    let told = facts.boots.range((at_box, 0)..=(at_box, u32::MAX));
+    let mut boots = Vec::new();
+    for ((_, number), boot) in told.take(1_000) {
+        let missing = (*number as usize).saturating_sub(boots.len()).min(1_000);
+        boots.extend(std::iter::repeat_n(Boot { at: None, died: None }, missing));
+        boots.push(Boot { at: boot.at_us.map(Time), died: boot.died_us.map(Time) });
+    }
+    boots
+}
+
+fn power(info: PowerInfo) -> Power {
+    Power { cores: info.cores, speed: info.speed, cold_from: info.cold_from, ramp: Micros(info.ramp_us) }
+}
+
+fn ended(end: BoxEnd) -> Option<Ended> {
+    Some(match end {
+        BoxEnd::Served => Ended::Served,
+        BoxEnd::TurnedAway => Ended::TurnedAway,
+        BoxEnd::Failed => Ended::Failed,
+        BoxEnd::Cancelled => Ended::Cancelled,
+        BoxEnd::Hung => Ended::Hung,
+        BoxEnd::Reset => Ended::Reset,
+        BoxEnd::Spoilt => Ended::Spoilt,
+        BoxEnd::BoxDied => Ended::BoxDied,
+        BoxEnd::Open => return None,
+    })
+}
--- /dev/null
+++ b/crates/lab/src/judge/service.rs
@@ -0,0 +1,158 @@
+//! How the service went, second by second. A request belongs to the second in which its first try was asked for,
+//! whenever it was over: what a second shows is what became of those who came in it.
+
+use super::facts::{Fate, Request, SECOND_US};
+use crate::samples::ClassInfo;
+use serde::{Deserialize, Serialize};
+
+/// What became of the requests of a span.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Counts {
+    /// Requests.
+    pub requests: u64,
+    /// Served in their time.
+    pub served: u64,
+    /// Served, and within the latency that their class aims at.
+    pub in_aim: u64,
+    /// Answered with status 200, too late to be of use.
+    pub late: u64,
+    /// Refused in the end.
+    pub refused: u64,
+    /// Answered otherwise in the end.
+    pub failed: u64,
+    /// Ended without a whole answer.
+    pub broken: u64,
+    /// Not answered in their time.
+    pub silent: u64,
+    /// Taken by no proxy.
+    pub not_taken: u64,
+    /// Worth of all requests.
+    pub worth: f64,
+    /// Worth of those served.
+    pub worth_served: f64,
+}
+
+impl Counts {
+    /// Those served, of all; none where there were none.
+    pub fn share(&self) -> Option<f64> {
+        (self.requests > 0).then(|| self.served as f64 / self.requests as f64)
+    }
+
+    /// The worth of those served, of all.
+    pub fn worth_share(&self) -> Option<f64> {
+        (self.worth > 0.0).then(|| self.worth_served / self.worth)
+    }
+
+    fn add(&mut self, request: &Request, class: Option<&ClassInfo>) {
+        let worth = class.map_or(1.0, |c| c.worth);
+        self.requests += 1;
+        self.worth += worth;
+        match request.fate {
+            Fate::Served => {
+                self.served += 1;
+                self.worth_served += worth;
+                if class.is_none_or(|c| request.took_us <= c.aim_us) {
+                    self.in_aim += 1;
+                }
+            }
+            Fate::Late => self.late += 1,
+            Fate::Refused => self.refused += 1,
+            Fate::Failed => self.failed += 1,
+            Fate::Broken => self.broken += 1,
+            Fate::Silent => self.silent += 1,
+            Fate::NotTaken => self.not_taken += 1,
+        }
+    }
+}
+
+/// A second of service.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize)]
+pub struct Second {
+    /// What became of the requests that came in it.
+    pub counts: Counts,
+    /// Median latency of those served, from first try to answer.
+    pub p50_us: Option<u64>,
+    /// The latency that 99 of 100 of those served kept.
+    pub p99_us: Option<u64>,
+}
+
+/// Seconds of service with every latency, for figures over several of them.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Series {
+    pub counts: Vec<Counts>,
+    /// By second, sorted.
+    pub latencies_us: Vec<Vec<u64>>,
+}
+
+impl Series {
+    /// Those of some requests; what came after the last whole second is left out.
+    pub fn of<'r>(
+        requests: impl Iterator<Item = &'r Request>, classes: &[ClassInfo], seconds: usize,
+    ) -> Series {
+        let mut series =
+            Series { counts: vec![Counts::default(); seconds], latencies_us: vec![Vec::new(); seconds] };
+        for request in requests {
+            let second = (request.asked_us / SECOND_US) as usize;
+            let Some(counts) = series.counts.get_mut(second) else { continue };
+            counts.add(request, classes.get(request.class as usize));
+            if request.fate == Fate::Served {
+                series.latencies_us[second].push(request.took_us);
+            }
+        }
+        for latencies in &mut series.latencies_us {
+            latencies.sort_unstable();
+        }
+        series
+    }
+
+    /// The seconds, for a report.
+    pub fn seconds(&self) -> Vec<Second> {
+        let latencies = self.latencies_us.iter();
+        let second = |(counts, latencies): (&Counts, &Vec<u64>)| Second {
+            counts: *counts,
+            p50_us: quantile(latencies, 0.5),
+            p99_us: quantile(latencies, 0.99),
+        };
+        self.counts.iter().zip(latencies).map(second).collect()
+    }
+
+    /// The latency of those served in these seconds that so many of them kept, all together.
+    pub fn pooled_us(&self, seconds: impl Iterator<Item = usize>, share: f64) -> Option<u64> {
+        let mut all: Vec<u64> = seconds.filter_map(|s| self.latencies_us.get(s)).flatten().copied().collect();
+        all.sort_unstable();
+        quantile(&all, share)
+    }
+
+    /// The counts of these seconds together.
+    pub fn total(&self, from_s: usize, to_s: usize) -> Counts {
+        let mut total = Counts::default();
+        for counts in self.counts.iter().take(to_s).skip(from_s) {
+            total.requests += counts.requests;
+            total.served += counts.served;
+            total.in_aim += counts.in_aim;
+            total.late += counts.late;
+            total.refused += counts.refused;
+            total.failed += counts.failed;
+            total.broken += counts.broken;
+            total.silent += counts.silent;
+            total.not_taken += counts.not_taken;
+            total.worth += counts.worth;
+            total.worth_served += counts.worth_served;
+        }
+        total
+    }
+
+    /// The second with the lowest share, and that share. The first of several.
+    pub fn worst(&self, from_s: usize, to_s: usize) -> Option<(usize, f64)> {
+        let seconds = self.counts.iter().enumerate().take(to_s).skip(from_s);
+        let shares = seconds.filter_map(|(s, counts)| Some((s, counts.share()?)));
+        shares.min_by(|a, b| a.1.total_cmp(&b.1))
+    }
+}
+
+/// The value that so many of them do not exceed, by nearest rank: one that was seen, nothing between two. They are
+/// sorted.
+pub(crate) fn quantile(sorted: &[u64], share: f64) -> Option<u64> {
+    let rank = (share * sorted.len() as f64).ceil() as usize;
+    sorted.get(rank.max(1) - 1).copied()
+}
--- /dev/null
+++ b/crates/lab/tests/judge/main.rs
@@ -0,0 +1,5 @@
+//! The judge over runs made by hand.
+
+mod common;
+mod lies;
+mod recovery;
