Links of the lab: faults on all that passes between two parts, seeded and counted at the write

An experiment with many processes needs cuts, delays and losses between them that it owns, and a count that shows when its own cut leaked.

--- /dev/null
+++ b/crates/lab/src/links/core.rs
@@ -0,0 +1,117 @@
+//! What the handles, the threads and the tasks of one link share: both directions and the news of a change.
+
+use super::fault::{Direction, Fault, FaultError};
+use super::gate::Gate;
+use super::line::{Line, Tally};
+use shaletide_base::Time;
+use shaletide_testkit::{Clock, Dice};
+use std::sync::{Mutex, MutexGuard, PoisonError};
+use tokio::sync::watch;
+
+/// One way through a link.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Way {
+    Forth = 0,
+    Back = 1,
+}
+
+impl Direction {
+    pub(super) fn ways(self) -> &'static [Way] {
+        match self {
+            Direction::Forth => &[Way::Forth],
+            Direction::Back => &[Way::Back],
+            Direction::Both => &[Way::Forth, Way::Back],
+        }
+    }
+
+    /// As seen from the other side.
+    pub fn reversed(self) -> Direction {
+        match self {
+            Direction::Forth => Direction::Back,
+            Direction::Back => Direction::Forth,
+            Direction::Both => Direction::Both,
+        }
+    }
+}
+
+/// Both directions between two ends.
+#[derive(Debug)]
+pub(super) struct Core {
+    pub clock: Clock,
+    pub name: String,
+    pub ends: [String; 2],
+    seed: u64,
+    lines: Mutex<[Line; 2]>,
+    changes: watch::Sender<()>,
+}
+
+impl Core {
+    pub fn new(clock: Clock, seed: u64, name: &str, ends: [&str; 2]) -> Core {
+        let lines = Mutex::new([Line::default(), Line::default()]);
+        let ends = ends.map(str::to_owned);
+        Core { clock, name: name.to_owned(), ends, seed, lines, changes: watch::Sender::new(()) }
+    }
+
+    /// Both directions. A shell writes while it holds them, so that a fault once set is in force for each write.
+    pub fn lines(&self) -> MutexGuard<'_, [Line; 2]> {
+        self.lines.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    pub fn now(&self) -> Time {
+        self.clock.now()
+    }
+
+    pub fn set(&self, direction: Direction, fault: Fault) -> Result<(), FaultError> {
+        self.set_ways(direction.ways(), fault)
+    }
+
+    pub fn set_ways(&self, ways: &[Way], fault: Fault) -> Result<(), FaultError> {
+        fault.check()?;
+        let mut lines = self.lines();
+        let now = self.now();
+        for way in ways {
+            lines[*way as usize].set(now, fault);
+        }
+        drop(lines);
+        self.changed();
+        Ok(())
+    }
+
+    /// Wakes those who follow [`Core::changes`].
+    pub fn changed(&self) {
+        self.changes.send_replace(());
+    }
+
+    /// Wakes each time that a fault was set since this call.
+    pub fn changes(&self) -> watch::Receiver<()> {
+        self.changes.subscribe()
+    }
+
+    /// Dice of a flow in one direction.
+    pub fn dice(&self, flow: &str, way: Way) -> Dice {
+        Dice::of(self.seed, &format!("{}/{flow}/{way:?}", self.name))
+    }
+
+    pub fn tallies(&self) -> [Tally; 2] {
+        let lines = self.lines();
+        [lines[0].tally(), lines[1].tally()]
+    }
+
+    /// How often either direction was cut with a reset.
+    pub fn resets(&self) -> u64 {
+        self.lines().iter().map(Line::resets).sum()
+    }
+}
+
+/// A gate that gives back what it holds to the tally when its flow ends.
+pub(super) struct Flow<'a> {
+    pub core: &'a Core,
+    pub way: Way,
+    pub gate: Gate,
+}
+
+impl Drop for Flow<'_> {
+    fn drop(&mut self) {
+        self.gate.abandon(&mut self.core.lines()[self.way as usize]);
+    }
+}
--- /dev/null
+++ b/crates/lab/src/links/fault.rs
@@ -0,0 +1,161 @@
+//! What may be wrong with one direction of a link, and the ranges it is held to.
+
+use shaletide_testkit::Law;
+use std::fmt;
+
+/// The longest delay that a chunk or datagram is given, in ms; a longer one drawn is cut down to it.
+pub const MAX_DELAY_MS: f64 = 60_000.0;
+
+/// The directions of a link, or between two groups of names.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Direction {
+    /// From the side that opens connections or sends first to the other; from the first group to the second.
+    Forth,
+    /// The other way round.
+    Back,
+    /// Both at once.
+    Both,
+}
+
+/// Whether and how a direction is cut.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Default)]
+pub enum Cut {
+    /// It is not.
+    #[default]
+    None,
+    /// Open connections are reset at both ends, in whichever direction this was set, and new ones are refused.
+    /// Datagrams are dropped.
+    Reset,
+    /// Nothing passes and nobody is told: open connections stay open. Bytes of a stream wait, within the bound of
+    /// held bytes, for the cut to heal, as they would in a sender's buffer; datagrams are dropped.
+    Silent,
+}
+
+/// What is wrong with one direction. [`Fault::default`] is a clean one.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Fault {
+    /// Whether it is cut.
+    pub cut: Cut,
+    /// Added delay of each chunk or datagram, ms, of 0 to [`MAX_DELAY_MS`]. A stream keeps its order, datagrams
+    /// overtake each other as their delays fall.
+    pub delay_ms: Law,
+    /// Chance that a datagram is dropped, 0 to 1. On a stream: that a chunk (up to 16 KiB, as read) and all behind
+    /// it wait as for a retransmission (200 ms, doubled for each further loss, 5 at most).
+    pub loss: f64,
+    /// Chance that a datagram arrives twice, 0 to 1. Not on streams.
+    pub duplicate: f64,
+    /// Chance that a datagram is overtaken by the next one to three, 0 to 1; it waits for these 100 ms at most.
+    /// Not on streams.
+    pub reorder: f64,
+    /// Bytes a second that pass, at least 1, shared by all connections of the link; `None`: no limit.
+    pub rate: Option<u64>,
+    /// Chance that one byte of a chunk or datagram is changed, 0 to 1.
+    pub corrupt: f64,
+    /// Chance that behind a datagram one follows that passed up to a minute ago, 0 to 1. Not on streams.
+    pub replay: f64,
+}
+
+impl Default for Fault {
+    fn default() -> Fault {
+        Fault {
+            cut: Cut::None,
+            delay_ms: Law::Fixed(0.0),
+            loss: 0.0,
+            duplicate: 0.0,
+            reorder: 0.0,
+            rate: None,
+            corrupt: 0.0,
+            replay: 0.0,
+        }
+    }
+}
+
+impl Fault {
+    /// A cut and nothing else.
+    pub fn cut(cut: Cut) -> Fault {
+        Fault { cut, ..Fault::default() }
+    }
+
+    /// A delay and nothing else.
+    pub fn delay_ms(delay_ms: Law) -> Fault {
+        Fault { delay_ms, ..Fault::default() }
+    }
+
+    /// Whether each value lies in its range.
+    ///
+    /// # Errors
+    /// The first value that does not.
+    pub fn check(&self) -> Result<(), FaultError> {
+        let chances = [
+            ("loss", self.loss),
+            ("duplicate", self.duplicate),
+            ("reorder", self.reorder),
+            ("corrupt", self.corrupt),
+            ("replay", self.replay),
+        ];
+        if let Some((name, value)) = chances.into_iter().find(|(_, value)| !(0.0..=1.0).contains(value)) {
+            return Err(FaultError::Chance { name, value });
+        }
+        let bounds = match self.delay_ms {
+            Law::Fixed(ms) | Law::Exponential(ms) => [ms, ms],
+            Law::Even(from, to) => [from, to],
+            // The ratio of deviation to mean has a range of its own, which is generous.
+            Law::LogNormal(mean, ratio) => [mean, ratio],
+        };
+        if let Some(value) = bounds.into_iter().find(|ms| !(0.0..=MAX_DELAY_MS).contains(ms)) {
+            return Err(FaultError::Delay { value });
+        }
+        match self.rate {
+            Some(0) => Err(FaultError::Rate),
+            _ => Ok(()),
+        }
+    }
+}
+
+/// A fault out of its range; nothing was changed.
+#[derive(Clone, Copy, Debug, PartialEq)]
+#[non_exhaustive]
+pub enum FaultError {
+    /// A chance outside 0 to 1.
+    Chance {
+        /// Which.
+        name: &'static str,
+        /// As given.
+        value: f64,
+    },
+    /// A delay outside 0 to [`MAX_DELAY_MS`].
+    Delay {
+        /// As given, ms.
+        value: f64,
+    },
+    /// No byte a second: that is a silent cut.
+    Rate,
+}
+
+impl fmt::Display for FaultError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            FaultError::Chance { name, value } => write!(f, "{name}: a chance of 0 to 1, got {value}"),
+            FaultError::Delay { value } => write!(f, "delay: 0 to {MAX_DELAY_MS} ms, got {value}"),
+            FaultError::Rate => write!(f, "rate: at least 1 byte a second; a silent cut lets none pass"),
+        }
+    }
+}
+
+impl std::error::Error for FaultError {}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn a_value_out_of_range_is_named() {
+        let clean = Fault::default();
+        assert_eq!(clean.check(), Ok(()));
+        let wrong = Fault { reorder: 1.5, ..clean };
+        assert_eq!(wrong.check(), Err(FaultError::Chance { name: "reorder", value: 1.5 }));
+        assert!(Fault { loss: f64::NAN, ..clean }.check().is_err());
+        assert_eq!(Fault::delay_ms(Law::Even(1.0, -2.0)).check(), Err(FaultError::Delay { value: -2.0 }));
+        assert_eq!(Fault { rate: Some(0), ..clean }.check(), Err(FaultError::Rate));
+    }
+}
--- /dev/null
+++ b/crates/lab/src/links/gate.rs
@@ -0,0 +1,341 @@
+//! One flow through one direction of a link: a connection's bytes, or the datagrams between two addresses. What
+//! comes in is given a time to leave, or none; the shell asks for what is due. Seeded; time is an argument.
+
+use super::line::Line;
+use super::replay::Replays;
+use shaletide_base::{Micros, Time};
+use shaletide_testkit::Dice;
+use std::collections::{BTreeMap, VecDeque};
+
+/// The largest chunk of a stream that is taken at once, bytes.
+pub const MAX_CHUNK: usize = 16 * 1024;
+/// A stream takes no more while so many bytes of it wait inside; the shell stops reading.
+pub const MAX_HELD_STREAM_BYTES: usize = 64 * 1024;
+/// Datagrams of one flow that wait inside at most; further ones are dropped as overflow.
+pub const MAX_HELD_DATAGRAMS: usize = 1024;
+/// Their bytes at most.
+pub const MAX_HELD_DATAGRAM_BYTES: usize = 64 * 1024;
+/// How long a datagram waits for others to overtake it.
+pub const REORDER_WAIT: Micros = Micros(100_000);
+/// The datagrams that overtake one at most.
+pub const REORDER_PAST: u64 = 3;
+/// The first stall of a lost chunk of a stream: the shortest wait for a retransmission on the platform.
+pub const STALL: Micros = Micros(200_000);
+/// Losses in a row of one chunk at most.
+pub const MAX_STALLS: u32 = 5;
+
+/// How one side of a connection ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum End {
+    /// No more bytes from there; the other direction goes on.
+    Finished,
+    /// The connection was reset.
+    Reset,
+}
+
+/// What leaves.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Leaves {
+    /// These bytes: a datagram, or a chunk of a stream.
+    Bytes(Vec<u8>),
+    /// A stream's end, behind all its bytes.
+    End(End),
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Kind {
+    Stream,
+    Datagrams,
+}
+
+#[derive(Clone, Debug)]
+struct Held {
+    /// The count of cuts when it came.
+    cuts: u64,
+    leaves: Leaves,
+}
+
+#[derive(Clone, Debug)]
+struct Aside {
+    due: Time,
+    until: Time,
+    past: u64,
+    held: Held,
+}
+
+/// A flow.
+#[derive(Clone, Debug)]
+pub struct Gate {
+    kind: Kind,
+    dice: Dice,
+    held: BTreeMap<(Time, u64), Held>,
+    held_bytes: usize,
+    aside: VecDeque<Aside>,
+    sequence: u64,
+    last_due: Time,
+    ended: bool,
+    replays: Replays,
+}
+
+impl Gate {
+    /// For one direction of a connection.
+    pub fn stream(dice: Dice) -> Gate {
+        Gate::new(Kind::Stream, dice)
+    }
+
+    /// For the datagrams from one address to another.
+    pub fn datagrams(dice: Dice) -> Gate {
+        Gate::new(Kind::Datagrams, dice)
+    }
+
+    fn new(kind: Kind, dice: Dice) -> Gate {
+        Gate {
+            kind,
+            dice,
+            held: BTreeMap::new(),
+            held_bytes: 0,
+            aside: VecDeque::new(),
+            sequence: 0,
+            last_due: Time(0),
+            ended: false,
+            replays: Replays::default(),
+        }
+    }
+
+    /// Whether a stream takes more bytes now. Datagrams are always taken, and dropped where there is no room.
+    pub fn has_room(&self) -> bool {
+        !self.ended && self.held_bytes < MAX_HELD_STREAM_BYTES
+    }
+
+    /// A datagram, or a chunk of a stream, came in. Of a stream at most [`MAX_CHUNK`] while it has room.
+    pub fn offer(&mut self, now: Time, line: &mut Line, bytes: Vec<u8>) {
+        line.tally.came += 1;
+        line.tally.came_bytes += bytes.len() as u64;
+        match self.kind {
+            Kind::Stream => self.offer_chunk(now, line, bytes),
+            Kind::Datagrams => self.offer_datagram(now, line, bytes),
+        }
+    }
+
+    /// The stream ended; its end leaves behind all that came before.
+    pub fn end(&mut self, now: Time, line: &mut Line, end: End) {
+        if self.ended {
+            return;
+        }
+        self.ended = true;
+        let due = (now + self.delay(line)).max(self.last_due);
+        self.insert(due, line, Leaves::End(end));
+    }
+
+    /// When [`Gate::take`] next has something; `None` while nothing waits or a cut holds it.
+    pub fn due(&self, line: &Line) -> Option<Time> {
+        if line.holds() {
+            // What a cut drops is dropped at once; a stream's bytes wait for its end.
+            return (self.kind == Kind::Datagrams && self.waits()).then_some(Time(0));
+        }
+        let first = self.held.keys().next().map(|(due, _)| *due);
+        let aside = self.aside.iter().map(|aside| aside.until).min();
+        first.into_iter().chain(aside).min()
+    }
+
+    /// What is due next, if anything is.
+    pub fn take(&mut self, now: Time, line: &mut Line) -> Option<Leaves> {
+        if line.holds() {
+            if self.kind == Kind::Datagrams {
+                let dropped = self.abandon(line);
+                line.tally.dropped_by_cut += dropped;
+            }
+            return None;
+        }
+        self.return_aside(now);
+        while let Some(entry) = self.held.first_entry() {
+            if entry.key().0 > now {
+                return None;
+            }
+            let held = entry.remove();
+            let bytes = held.leaves.bytes();
+            self.held_bytes -= bytes;
+            line.let_go(bytes);
+            if self.kind == Kind::Datagrams && held.cuts != line.cuts() {
+                line.tally.dropped_by_cut += 1;
+                continue;
+            }
+            return Some(held.leaves);
+        }
+        None
+    }
+
+    /// The rest of a chunk of which the receiver took only the first part: it leaves next.
+    pub fn put_back(&mut self, line: &mut Line, rest: Vec<u8>) {
+        self.held_bytes += rest.len();
+        line.hold(rest.len());
+        let held = Held { cuts: line.cuts(), leaves: Leaves::Bytes(rest) };
+        // Sequence numbers begin at 1 and only one chunk is ever out, so that the place is free.
+        self.held.insert((Time(0), 0), held);
+    }
+
+    /// Drops all that waits, as the end of the flow does: how many units.
+    pub fn abandon(&mut self, line: &mut Line) -> u64 {
+        let mut dropped_units = 0;
+        let aside = self.aside.drain(..).map(|aside| aside.held);
+        let dropped = std::mem::take(&mut self.held).into_values().chain(aside);
+        for held in dropped {
+            line.let_go(held.leaves.bytes());
+            dropped_units += 1;
+        }
+        self.held_bytes = 0;
+        dropped_units
+    }
+
+    fn waits(&self) -> bool {
+        !self.held.is_empty() || !self.aside.is_empty()
+    }
+
+    fn delay(&mut self, line: &Line) -> Micros {
+        let ms = line.fault().delay_ms.draw(&mut self.dice);
+        Micros((ms.min(super::fault::MAX_DELAY_MS) * 1000.0).ceil() as u64)
+    }
+
+    /// Draws only for what may happen, so that one fault's dice do not depend on another's being set to nothing.
+    fn happens(&mut self, chance: f64) -> bool {
+        chance > 0.0 && self.dice.chance(chance)
+    }
+
+    fn below(&mut self, bound: u64) -> u64 {
+        self.dice.word() % bound
+    }
+
+    fn insert(&mut self, due: Time, line: &mut Line, leaves: Leaves) {
+        let bytes = leaves.bytes();
+        self.held_bytes += bytes;
+        line.hold(bytes);
+        self.sequence += 1;
+        self.last_due = self.last_due.max(due);
+        self.held.insert((due, self.sequence), Held { cuts: line.cuts(), leaves });
+    }
+
+    fn corrupt(&mut self, line: &mut Line, bytes: &mut [u8]) {
+        if bytes.is_empty() || !self.happens(line.fault().corrupt) {
+            return;
+        }
+        let at = self.below(bytes.len() as u64) as usize;
+        bytes[at] ^= 1 + self.below(255) as u8;
+        line.tally.corrupted += 1;
+    }
+
+    fn offer_chunk(&mut self, now: Time, line: &mut Line, mut bytes: Vec<u8>) {
+        self.corrupt(line, &mut bytes);
+        let wait = Micros(self.delay(line).0 + self.stall(line).0);
+        for piece in bytes.chunks(piece_bytes(line)) {
+            let through = line.slot(now, piece.len());
+            let due = (through + wait).max(self.last_due);
+            self.insert(due, line, Leaves::Bytes(piece.to_vec()));
+        }
+    }
+
+    fn stall(&mut self, line: &mut Line) -> Micros {
+        let chance = line.fault().loss;
+        let mut stall = Micros(0);
+        for nth in 0..MAX_STALLS {
+            if !self.happens(chance) {
+                break;
+            }
+            line.tally.stalled += u64::from(nth == 0);
+            stall = Micros(stall.0 + (STALL.0 << nth));
+        }
+        stall
+    }
+
+    fn offer_datagram(&mut self, now: Time, line: &mut Line, bytes: Vec<u8>) {
+        if line.holds() {
+            line.tally.dropped_by_cut += 1;
+            return;
+        }
+        let fault = line.fault();
+        if self.happens(fault.loss) {
+            line.tally.lost += 1;
+            return;
+        }
+        let replay = if self.happens(fault.replay) { self.replays.draw(now, &mut self.dice) } else { None };
+        self.replays.keep(now, &bytes);
+        let copy = self.happens(fault.duplicate).then(|| bytes.clone());
+        let aside = self.happens(fault.reorder);
+        self.schedule(now, line, bytes, aside);
+        if let Some(copy) = copy {
+            line.tally.duplicated += 1;
+            self.schedule(now, line, copy, false);
+        }
+        if let Some(old) = replay {
+            line.tally.replayed += 1;
+            self.schedule(now, line, old, false);
+        }
+    }
+
+    fn schedule(&mut self, now: Time, line: &mut Line, mut bytes: Vec<u8>, aside: bool) {
+        let held = self.held.len() + self.aside.len();
+        if held >= MAX_HELD_DATAGRAMS || self.held_bytes + bytes.len() > MAX_HELD_DATAGRAM_BYTES {
+            line.tally.overflowed += 1;
+            return;
+        }
+        self.corrupt(line, &mut bytes);
+        let due = line.slot(now, bytes.len()) + self.delay(line);
+        if aside {
+            self.set_aside(due, line, bytes);
+        } else {
+            self.insert(due, line, Leaves::Bytes(bytes));
+            self.overtaken(due);
+        }
+    }
+
+    fn set_aside(&mut self, due: Time, line: &mut Line, bytes: Vec<u8>) {
+        line.tally.reordered += 1;
+        line.hold(bytes.len());
+        self.held_bytes += bytes.len();
+        let past = 1 + self.below(REORDER_PAST);
+        let held = Held { cuts: line.cuts(), leaves: Leaves::Bytes(bytes) };
+        self.aside.push_back(Aside { due, until: due + REORDER_WAIT, past, held });
+    }
+
+    /// A datagram that leaves at that time overtook all that stand aside.
+    fn overtaken(&mut self, at: Time) {
+        for mut aside in std::mem::take(&mut self.aside) {
+            aside.past -= 1;
+            if aside.past == 0 {
+                self.keep(at.max(aside.due), aside.held);
+            } else {
+                self.aside.push_back(aside);
+            }
+        }
+    }
+
+    fn return_aside(&mut self, now: Time) {
+        for aside in std::mem::take(&mut self.aside) {
+            if aside.until <= now {
+                self.keep(aside.until, aside.held);
+            } else {
+                self.aside.push_back(aside);
+            }
+        }
+    }
+
+    /// Back among the rest, with its bytes counted already.
+    fn keep(&mut self, due: Time, held: Held) {
+        self.sequence += 1;
+        self.held.insert((due, self.sequence), held);
+    }
+}
+
+impl Leaves {
+    fn bytes(&self) -> usize {
+        match self {
+            Leaves::Bytes(bytes) => bytes.len(),
+            Leaves::End(_) => 0,
+        }
+    }
+}
+
+/// A stream under a rate leaves in pieces of a twentieth of a second, not below 256 bytes.
+fn piece_bytes(line: &Line) -> usize {
+    let rate = line.fault().rate.unwrap_or(u64::MAX);
+    (rate / 20).clamp(256, MAX_CHUNK as u64) as usize
+}
--- /dev/null
+++ b/crates/lab/src/links/mesh.rs
@@ -0,0 +1,200 @@
+//! A UDP mesh: peers that know each other by addresses of the lab's alone. Each has one: a datagram sent to it goes
+//! to the peer it stands for, and comes from the address that stands for the sender.
+
+use super::core::{Core, Way};
+use super::fault::{Direction, Fault, FaultError};
+use super::gate::Gate;
+use super::line::Tally;
+use super::pump::wake;
+use super::udp::{send_due, MAX_DATAGRAM};
+use shaletide_base::Time;
+use shaletide_testkit::Dice;
+use std::net::{IpAddr, SocketAddr};
+use std::sync::atomic::{AtomicU64, Ordering::Relaxed};
+use std::sync::{Arc, Mutex, PoisonError};
+use tokio::net::UdpSocket;
+use tokio::task::AbortHandle;
+
+/// Peers of a mesh at most.
+pub const MAX_PEERS: usize = 64;
+/// Datagrams taken in a row before others get a turn.
+const BATCH: usize = 32;
+
+/// One peer as the mesh is told of it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Peer {
+    /// Its name, for faults between names.
+    pub name: String,
+    /// The address of the lab's that is to stand for it; the kernel picks the port.
+    pub listen: IpAddr,
+    /// Where it really is. What it sends has to come from there.
+    pub real: SocketAddr,
+}
+
+/// The ordered pairs of a mesh, each with faults of its own, shared by its tasks.
+#[derive(Debug)]
+pub(super) struct Pairs {
+    names: Vec<String>,
+    real: Mutex<Vec<SocketAddr>>,
+    /// For each pair (low, high) of peers, at [`Pairs::place`]; from the lower to the higher is forth.
+    cores: Vec<Arc<Core>>,
+    strangers: AtomicU64,
+}
+
+impl Pairs {
+    pub fn new(peers: &[Peer], mut core: impl FnMut(&str, &str) -> Core) -> Pairs {
+        let names: Vec<String> = peers.iter().map(|peer| peer.name.clone()).collect();
+        let mut cores = Vec::new();
+        for (high, name) in names.iter().enumerate() {
+            cores.extend(names[..high].iter().map(|low| Arc::new(core(low, name))));
+        }
+        let real = Mutex::new(peers.iter().map(|peer| peer.real).collect());
+        Pairs { names, real, cores, strangers: AtomicU64::new(0) }
+    }
+
+    pub fn cores(&self) -> &[Arc<Core>] {
+        &self.cores
+    }
+
+    /// The directions of the pair from one peer to another that is not the same.
+    fn pair(&self, from: usize, to: usize) -> (&Core, Way) {
+        let (low, high) = (from.min(to), from.max(to));
+        let way = if from < to { Way::Forth } else { Way::Back };
+        (&self.cores[high * (high - 1) / 2 + low], way)
+    }
+
+    fn dice(&self, from: usize, to: usize) -> Dice {
+        let (core, way) = self.pair(from, to);
+        core.dice("mesh", way)
+    }
+
+    fn index(&self, name: &str) -> Option<usize> {
+        self.names.iter().position(|own| own == name)
+    }
+
+    fn real(&self) -> Vec<SocketAddr> {
+        self.real.lock().unwrap_or_else(PoisonError::into_inner).clone()
+    }
+}
+
+/// The handle of a mesh; it ends when this is dropped.
+#[derive(Debug)]
+pub struct Mesh {
+    pub(super) pairs: Arc<Pairs>,
+    pub(super) addresses: Vec<SocketAddr>,
+    pub(super) tasks: Vec<AbortHandle>,
+}
+
+impl Mesh {
+    /// The address that stands for a peer: what the others are to be told of it.
+    pub fn address(&self, name: &str) -> Option<SocketAddr> {
+        Some(self.addresses[self.pairs.index(name)?])
+    }
+
+    /// Puts a fault in force from one peer to another; false where there is no such pair.
+    ///
+    /// # Errors
+    /// A value out of its range; nothing was changed.
+    pub fn set(&self, from: &str, to: &str, fault: Fault) -> Result<bool, FaultError> {
+        let Some((core, way)) = self.pair(from, to) else { return Ok(false) };
+        let direction = if way == Way::Forth { Direction::Forth } else { Direction::Back };
+        core.set(direction, fault)?;
+        Ok(true)
+    }
+
+    /// What went from one peer to another; `None` where there is no such pair.
+    pub fn stats(&self, from: &str, to: &str) -> Option<Tally> {
+        let (core, way) = self.pair(from, to)?;
+        Some(core.tallies()[way as usize])
+    }
+
+    /// Says where a peer really is from now on; false where there is none of that name.
+    pub fn aim(&self, name: &str, real: SocketAddr) -> bool {
+        let Some(at) = self.pairs.index(name) else { return false };
+        self.pairs.real.lock().unwrap_or_else(PoisonError::into_inner)[at] = real;
+        true
+    }
+
+    /// Datagrams that came from an address that is no peer's, or to a peer from itself: dropped.
+    pub fn strangers(&self) -> u64 {
+        self.pairs.strangers.load(Relaxed)
+    }
+
+    fn pair(&self, from: &str, to: &str) -> Option<(&Core, Way)> {
+        let (from, to) = (self.pairs.index(from)?, self.pairs.index(to)?);
+        (from != to).then(|| self.pairs.pair(from, to))
+    }
+}
+
+impl Drop for Mesh {
+    fn drop(&mut self) {
+        self.tasks.iter().for_each(AbortHandle::abort);
+    }
+}
+
+/// The task that delivers to one peer.
+pub(super) struct Host {
+    pairs: Arc<Pairs>,
+    sockets: Arc<Vec<UdpSocket>>,
+    to: usize,
+    /// By sender; that of the peer itself stays empty.
+    gates: Vec<Gate>,
+}
+
+impl Host {
+    pub fn new(pairs: Arc<Pairs>, sockets: Arc<Vec<UdpSocket>>, to: usize) -> Host {
+        let gate = |from| {
+            let dice = if from == to { Dice::new(0) } else { pairs.dice(from, to) };
+            Gate::datagrams(dice)
+        };
+        let gates = (0..sockets.len()).map(gate).collect();
+        Host { pairs, sockets, to, gates }
+    }
+
+    pub async fn run(mut self) {
+        let mut buffer = vec![0; MAX_DATAGRAM];
+        loop {
+            let due = self.flush();
+            let socket = &self.sockets[self.to];
+            let clock = self.pairs.cores[0].as_ref();
+            tokio::select! {
+                _ = socket.readable() => self.read(&mut buffer),
+                () = wake(clock, due), if due.is_some() => {}
+            }
+        }
+    }
+
+    fn read(&mut self, buffer: &mut [u8]) {
+        let real = self.pairs.real();
+        for _ in 0..BATCH {
+            match self.sockets[self.to].try_recv_from(buffer) {
+                Ok((count, from)) => match real.iter().position(|real| *real == from) {
+                    Some(from) if from != self.to => self.offer(from, buffer[..count].to_vec()),
+                    _ => {
+                        self.pairs.strangers.fetch_add(1, Relaxed);
+                    }
+                },
+                // None left, or the news that nobody took an earlier datagram.
+                Err(_) => return,
+            }
+        }
+    }
+
+    fn offer(&mut self, from: usize, datagram: Vec<u8>) {
+        let (core, way) = self.pairs.pair(from, self.to);
+        let mut lines = core.lines();
+        self.gates[from].offer(core.now(), &mut lines[way as usize], datagram);
+    }
+
+    fn flush(&mut self) -> Option<Time> {
+        let to = self.pairs.real()[self.to];
+        let mut due = None;
+        for (from, gate) in self.gates.iter_mut().enumerate().filter(|(from, _)| *from != self.to) {
+            let (core, way) = self.pairs.pair(from, self.to);
+            let mut lines = core.lines();
+            let next = send_due(gate, core.now(), &mut lines[way as usize], &self.sockets[from], to);
+            due = due.into_iter().chain(next).min();
+        }
+        due
+    }
+}
--- /dev/null
+++ b/crates/lab/src/links/pump.rs
@@ -0,0 +1,115 @@
+//! One direction of one connection: reads into the gate while there is room, writes what is due.
+
+use super::core::{Core, Flow, Way};
+use super::gate::{End, Leaves, MAX_CHUNK};
+use shaletide_base::Time;
+use socket2::SockRef;
+use std::io::{self, ErrorKind::WouldBlock};
+use std::net::Shutdown;
+use tokio::net::TcpStream;
+use tokio::time::{sleep_until, Instant};
+
+/// The connection is to be reset at both ends.
+#[derive(Debug, PartialEq, Eq)]
+pub(super) struct Reset;
+
+enum Flushed {
+    /// The stream's end was written: this direction is done.
+    Ended,
+    /// The receiver takes no more now.
+    Blocked,
+    /// Nothing is due before then.
+    Waits(Option<Time>),
+}
+
+/// Runs a direction of a connection to its end. Dropped midway it leaves the sockets as they are.
+pub(super) async fn pump(
+    mut flow: Flow<'_>, from: &TcpStream, to: &TcpStream, resets: u64,
+) -> Result<(), Reset> {
+    let core = flow.core;
+    let mut changes = core.changes();
+    loop {
+        let (blocked, due) = match flush(&mut flow, to, resets)? {
+            Flushed::Ended => return Ok(()),
+            Flushed::Blocked => (true, None),
+            Flushed::Waits(due) => (false, due),
+        };
+        tokio::select! {
+            _ = changes.changed() => {}
+            _ = from.readable(), if flow.gate.has_room() => read(&mut flow, from),
+            _ = to.writable(), if blocked => {}
+            () = wake(core, due), if due.is_some() => {}
+        }
+    }
+}
+
+/// Sleeps until that time, never shorter; the timer's own grain is a millisecond.
+pub(super) async fn wake(core: &Core, due: Option<Time>) {
+    if let Some(due) = due {
+        sleep_until(Instant::from_std(core.clock.instant(due))).await;
+    }
+}
+
+fn read(flow: &mut Flow<'_>, from: &TcpStream) {
+    let mut chunk = [0; MAX_CHUNK];
+    let result = from.try_read(&mut chunk);
+    let mut lines = flow.core.lines();
+    let line = &mut lines[flow.way as usize];
+    let now = flow.core.now();
+    match result {
+        Ok(0) => flow.gate.end(now, line, End::Finished),
+        Ok(count) => flow.gate.offer(now, line, chunk[..count].to_vec()),
+        Err(e) if e.kind() == WouldBlock => {}
+        Err(_) => flow.gate.end(now, line, End::Reset),
+    }
+}
+
+/// Writes what is due. Both directions are held meanwhile, so that no fault is set between decision and write.
+fn flush(flow: &mut Flow<'_>, to: &TcpStream, resets: u64) -> Result<Flushed, Reset> {
+    let mut lines = flow.core.lines();
+    if lines.iter().map(|line| line.resets()).sum::<u64>() != resets {
+        return Err(Reset);
+    }
+    let line = &mut lines[flow.way as usize];
+    let now = flow.core.now();
+    while let Some(leaves) = flow.gate.take(now, line) {
+        let mut bytes = match leaves {
+            Leaves::Bytes(bytes) => bytes,
+            Leaves::End(End::Reset) => return Err(Reset),
+            Leaves::End(End::Finished) => {
+                // A receiver that is gone already needs no end.
+                let _ = SockRef::from(to).shutdown(Shutdown::Write);
+                return Ok(Flushed::Ended);
+            }
+        };
+        let wrote = write(to, &bytes)?;
+        line.wrote(wrote, wrote == bytes.len());
+        if wrote < bytes.len() {
+            flow.gate.put_back(line, bytes.split_off(wrote));
+            return Ok(Flushed::Blocked);
+        }
+    }
+    Ok(Flushed::Waits(flow.gate.due(line)))
+}
+
+fn write(to: &TcpStream, bytes: &[u8]) -> Result<usize, Reset> {
+    match to.try_write(bytes) {
+        Ok(wrote) => Ok(wrote),
+        Err(e) if e.kind() == WouldBlock => Ok(0),
+        Err(_) => Err(Reset),
+    }
+}
+
+/// The gates of a connection's directions.
+pub(super) fn flows<'a>(core: &'a Core, nth: u64) -> [Flow<'a>; 2] {
+    let flow = format!("connection {nth}");
+    [Way::Forth, Way::Back].map(|way| {
+        let gate = super::gate::Gate::stream(core.dice(&flow, way));
+        Flow { core, way, gate }
+    })
+}
+
+/// Has both sockets reset their connection when they are dropped.
+pub(super) fn reset_on_drop(stream: &TcpStream) -> io::Result<()> {
+    SockRef::from(stream).set_linger(Some(std::time::Duration::ZERO))
+}
--- /dev/null
+++ b/crates/lab/src/links/tcp.rs
@@ -0,0 +1,221 @@
+//! TCP links: a listener, and for each connection one to the target with a pump each way.
+
+use super::fault::Cut;
+use super::link::{Opened, Shared};
+use super::pump::{flows, pump, reset_on_drop, Reset};
+use super::Room;
+use socket2::{Domain, SockRef, Socket, Type};
+use std::collections::BTreeSet;
+use std::io;
+use std::net::{SocketAddr, TcpListener as StdListener};
+use std::sync::atomic::Ordering::Relaxed;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::watch;
+use tokio::task::JoinSet;
+use tokio::time::timeout;
+
+/// Connections of one link at most; further ones are reset.
+pub const MAX_CONNECTIONS: u64 = 1024;
+/// How long a target may take to accept.
+pub const DIAL_PATIENCE: Duration = Duration::from_secs(30);
+/// Connections that the kernel keeps for a link that has not taken them yet.
+const BACKLOG: i32 = 1024;
+/// The wait before a listener is tried again.
+const RELISTEN: Duration = Duration::from_millis(20);
+
+/// How a link meets those who connect.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Door {
+    Open,
+    /// Nobody listens.
+    Refusing,
+    /// Attempts meet no answer.
+    Silent,
+}
+
+/// The address of a link, kept while nobody listens there.
+pub(super) struct Place {
+    address: SocketAddr,
+    _guard: Socket,
+}
+
+impl Place {
+    /// A port of that address that the kernel picks, or the one named.
+    ///
+    /// # Errors
+    /// The address cannot be had.
+    pub fn new(wanted: SocketAddr) -> io::Result<Place> {
+        let guard = bound(wanted)?;
+        let address = guard.local_addr()?.as_socket().ok_or(io::ErrorKind::AddrNotAvailable)?;
+        Ok(Place { address, _guard: guard })
+    }
+
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    pub fn listen(&self) -> io::Result<TcpListener> {
+        let socket = bound(self.address)?;
+        socket.listen(BACKLOG)?;
+        TcpListener::from_std(StdListener::from(socket))
+    }
+}
+
+fn bound(address: SocketAddr) -> io::Result<Socket> {
+    let socket = Socket::new(Domain::for_address(address), Type::STREAM, None)?;
+    // The guard and the listener share the address; with nobody listening the kernel refuses.
+    socket.set_reuse_address(true)?;
+    socket.set_nonblocking(true)?;
+    socket.bind(&address.into())?;
+    Ok(socket)
+}
+
+/// A silent listener: its queue is filled by one connection of its own, whereupon the kernel drops attempts.
+struct Silence {
+    filler: Socket,
+}
+
+impl Silence {
+    fn begin(listener: &TcpListener, address: SocketAddr) -> io::Result<Silence> {
+        SockRef::from(listener).listen(0)?;
+        let filler = Socket::new(Domain::for_address(address), Type::STREAM, None)?;
+        filler.set_nonblocking(true)?;
+        // In progress or full already: either will do.
+        let _ = filler.connect(&address.into());
+        Ok(Silence { filler })
+    }
+
+    /// Listens again. If the filler stands in the queue: its address, to be known by when it is taken.
+    fn end(self, listener: &TcpListener) -> io::Result<Option<SocketAddr>> {
+        SockRef::from(listener).listen(BACKLOG)?;
+        let stands = self.filler.peer_addr().is_ok();
+        Ok(if stands { self.filler.local_addr()?.as_socket() } else { None })
+    }
+}
+
+fn door(shared: &Shared) -> Door {
+    let lines = shared.core.lines();
+    let cuts = [lines[0].fault().cut, lines[1].fault().cut];
+    if shared.refusing.load(Relaxed) || cuts.contains(&Cut::Reset) {
+        Door::Refusing
+    } else if cuts.contains(&Cut::Silent) {
+        // An attempt needs both directions.
+        Door::Silent
+    } else {
+        Door::Open
+    }
+}
+
+/// The task of a TCP link; its connections end with it.
+pub(super) struct Host {
+    shared: Arc<Shared>,
+    place: Place,
+    room: Arc<Room>,
+    fillers: BTreeSet<SocketAddr>,
+    connections: JoinSet<()>,
+}
+
+impl Host {
+    pub fn new(shared: Arc<Shared>, place: Place, room: Arc<Room>) -> Host {
+        Host { shared, place, room, fillers: BTreeSet::new(), connections: JoinSet::new() }
+    }
+
+    /// Listens as the faults say. The first listener is made by the caller, so that the link is there at once.
+    pub async fn run(mut self, first: TcpListener) {
+        let mut listener = Some(first);
+        let mut changes = self.shared.core.changes();
+        loop {
+            let door = door(&self.shared);
+            if door == Door::Refusing {
+                listener = None;
+                self.fillers.clear();
+                let _ = changes.changed().await;
+                continue;
+            }
+            let Ok(open) = listener.take().map_or_else(|| self.place.listen(), Ok) else {
+                tokio::time::sleep(RELISTEN).await;
+                continue;
+            };
+            if door == Door::Silent {
+                self.stay_silent(&open, &mut changes).await;
+            } else {
+                self.take_next(&open, &mut changes).await;
+            }
+            listener = Some(open);
+        }
+    }
+
+    async fn stay_silent(&mut self, listener: &TcpListener, changes: &mut watch::Receiver<()>) {
+        let silence = Silence::begin(listener, self.place.address);
+        while door(&self.shared) == Door::Silent {
+            let _ = changes.changed().await;
+        }
+        let filler = silence.and_then(|silence| silence.end(listener));
+        self.fillers.extend(filler.ok().flatten());
+    }
+
+    async fn take_next(&mut self, listener: &TcpListener, changes: &mut watch::Receiver<()>) {
+        tokio::select! {
+            _ = changes.changed() => {}
+            Some(_) = self.connections.join_next() => {}
+            taken = listener.accept() => match taken {
+                Ok((client, address)) => self.take(client, address),
+                // Out of descriptors, as a rule: others have to end first.
+                Err(_) => tokio::time::sleep(RELISTEN).await,
+            },
+        }
+    }
+
+    fn take(&mut self, client: TcpStream, address: SocketAddr) {
+        if self.fillers.remove(&address) {
+            return;
+        }
+        let counts = &self.shared.counts;
+        let seat = self.room.take();
+        if seat.is_none() || counts.open.load(Relaxed) >= MAX_CONNECTIONS {
+            counts.failed.fetch_add(1, Relaxed);
+            let _ = reset_on_drop(&client);
+            return;
+        }
+        let shared = self.shared.clone();
+        let opened = shared.counts.accepted.fetch_add(1, Relaxed);
+        self.connections.spawn(async move {
+            let _seat = seat;
+            serve(&shared, client, opened).await;
+        });
+    }
+}
+
+/// A connection from its taking to its end.
+async fn serve(shared: &Shared, client: TcpStream, nth: u64) {
+    let counts = &shared.counts;
+    let _open = Opened::new(counts);
+    let resets = shared.core.resets();
+    let Some(target) = dial(shared, resets).await else {
+        counts.failed.fetch_add(1, Relaxed);
+        let _ = reset_on_drop(&client);
+        return;
+    };
+    let _ = (client.set_nodelay(true), target.set_nodelay(true));
+    let [forth, back] = flows(&shared.core, nth);
+    let forth = pump(forth, &client, &target, resets);
+    let back = pump(back, &target, &client, resets);
+    if tokio::try_join!(forth, back) == Err(Reset) {
+        counts.reset.fetch_add(1, Relaxed);
+        let _ = (reset_on_drop(&client), reset_on_drop(&target));
+    }
+}
+
+/// The connection to the target, begun when no cut is in force.
+async fn dial(shared: &Shared, resets: u64) -> Option<TcpStream> {
+    let mut changes = shared.core.changes();
+    while door(shared) == Door::Silent {
+        let _ = changes.changed().await;
+    }
+    if shared.core.resets() != resets {
+        return None;
+    }
+    timeout(DIAL_PATIENCE, TcpStream::connect(shared.target())).await.ok()?.ok()
+}
--- /dev/null
+++ b/crates/lab/src/links/udp.rs
@@ -0,0 +1,146 @@
+//! UDP links: each sender gets a socket of its own towards the target, so that replies find back to it.
+
+use super::core::{Flow, Way};
+use super::gate::{Gate, Leaves};
+use super::line::Line;
+use super::link::{Opened, Shared};
+use super::pump::wake;
+use shaletide_base::Time;
+use socket2::SockRef;
+use std::collections::BTreeMap;
+use std::net::{IpAddr, SocketAddr};
+use std::sync::atomic::Ordering::Relaxed;
+use std::sync::Arc;
+use tokio::net::UdpSocket;
+use tokio::sync::mpsc;
+use tokio::task::JoinHandle;
+
+/// Senders that a UDP link knows at most; the one heard of longest ago is forgotten.
+pub const MAX_SENDERS: usize = 256;
+/// The largest datagram that is taken.
+pub const MAX_DATAGRAM: usize = 65_535;
+/// Datagrams that wait between the link's socket and a sender's own task.
+const MAX_QUEUED: usize = 64;
+
+struct Sender {
+    queue: mpsc::Sender<Vec<u8>>,
+    heard: Time,
+    task: JoinHandle<()>,
+}
+
+impl Drop for Sender {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
+
+/// The task of a UDP link.
+pub(super) struct Host {
+    shared: Arc<Shared>,
+    socket: Arc<UdpSocket>,
+    senders: BTreeMap<SocketAddr, Sender>,
+}
+
+impl Host {
+    pub fn new(shared: Arc<Shared>, socket: UdpSocket) -> Host {
+        Host { shared, socket: Arc::new(socket), senders: BTreeMap::new() }
+    }
+
+    pub async fn run(mut self) {
+        let mut buffer = vec![0; MAX_DATAGRAM];
+        loop {
+            // An error here tells of an earlier datagram that nobody took.
+            if let Ok((count, from)) = self.socket.recv_from(&mut buffer).await {
+                self.hand_on(from, buffer[..count].to_vec()).await;
+            }
+        }
+    }
+
+    async fn hand_on(&mut self, from: SocketAddr, datagram: Vec<u8>) {
+        let now = self.shared.core.now();
+        if self.senders.get(&from).is_none_or(|sender| sender.task.is_finished()) {
+            let Some(sender) = self.welcome(from, now).await else { return self.overflow() };
+            self.senders.insert(from, sender);
+        }
+        let Some(sender) = self.senders.get_mut(&from) else { return };
+        sender.heard = now;
+        if sender.queue.try_send(datagram).is_err() {
+            self.overflow();
+        }
+    }
+
+    fn overflow(&self) {
+        self.shared.core.lines()[Way::Forth as usize].tally.overflowed += 1;
+    }
+
+    async fn welcome(&mut self, from: SocketAddr, now: Time) -> Option<Sender> {
+        if self.senders.len() >= MAX_SENDERS {
+            let longest =
+                self.senders.iter().min_by_key(|(_, sender)| sender.heard).map(|(from, _)| *from)?;
+            self.senders.remove(&longest);
+        }
+        let own: IpAddr = self.socket.local_addr().ok()?.ip();
+        let towards = UdpSocket::bind((own, 0)).await.ok()?;
+        let (queue, queued) = mpsc::channel(MAX_QUEUED);
+        let nth = self.shared.counts.accepted.fetch_add(1, Relaxed);
+        let (shared, socket) = (self.shared.clone(), self.socket.clone());
+        let task = tokio::spawn(async move { serve(&shared, &socket, from, &towards, queued, nth).await });
+        Some(Sender { queue, heard: now, task })
+    }
+}
+
+/// All that one sender sends and gets.
+async fn serve(
+    shared: &Shared, near: &UdpSocket, client: SocketAddr, far: &UdpSocket,
+    mut queued: mpsc::Receiver<Vec<u8>>, nth: u64,
+) {
+    let _open = Opened::new(&shared.counts);
+    let core = &shared.core;
+    let [mut forth, mut back] = [Way::Forth, Way::Back].map(|way| {
+        let gate = Gate::datagrams(core.dice(&format!("sender {nth}"), way));
+        Flow { core, way, gate }
+    });
+    let mut buffer = vec![0; MAX_DATAGRAM];
+    loop {
+        let due =
+            flush(&mut forth, far, shared.target()).into_iter().chain(flush(&mut back, near, client)).min();
+        tokio::select! {
+            datagram = queued.recv() => match datagram {
+                Some(datagram) => offer(&mut forth, datagram),
+                None => return,
+            },
+            got = far.recv_from(&mut buffer) => match got {
+                Ok((count, from)) if from == shared.target() => offer(&mut back, buffer[..count].to_vec()),
+                // A stranger, or the news that nobody took an earlier datagram.
+                _ => {}
+            },
+            () = wake(core, due), if due.is_some() => {}
+        }
+    }
+}
+
+fn offer(flow: &mut Flow<'_>, datagram: Vec<u8>) {
+    let mut lines = flow.core.lines();
+    flow.gate.offer(flow.core.now(), &mut lines[flow.way as usize], datagram);
+}
+
+fn flush(flow: &mut Flow<'_>, by: &UdpSocket, to: SocketAddr) -> Option<Time> {
+    let mut lines = flow.core.lines();
+    let line = &mut lines[flow.way as usize];
+    send_due(&mut flow.gate, flow.core.now(), line, by, to)
+}
+
+/// Sends what is due and says when to come again. The line stays held, so that no fault is set between.
+pub(super) fn send_due(
+    gate: &mut Gate, now: Time, line: &mut Line, by: &UdpSocket, to: SocketAddr,
+) -> Option<Time> {
+    while let Some(leaves) = gate.take(now, line) {
+        let Leaves::Bytes(datagram) = leaves else { continue };
+        // Past the runtime, which would first have to hear that a new socket takes something.
+        match SockRef::from(by).send_to(&datagram, &to.into()) {
+            Ok(wrote) => line.wrote(wrote, true),
+            Err(_) => line.tally.overflowed += 1,
+        }
+    }
+    gate.due(line)
+}
