--- a/crates/lab/src/clients/mod.rs
+++ b/crates/lab/src/clients/mod.rs
@@ -111,6 +111,11 @@
         Micros(self.controls.late_us.swap(0, Ordering::Relaxed))
     }
 
+    /// Tries so far, those served and those refused.
+    pub fn totals(&self) -> (u64, u64, u64) {
+        self.controls.heard().totals
+    }
+
     /// Whether all are over.
     pub fn done(&self) -> bool {
         self.thread.as_ref().is_none_or(std::thread::JoinHandle::is_finished)
--- /dev/null
+++ b/crates/lab/src/paths.rs
@@ -0,0 +1,177 @@
+//! The links of a run: one from each proxy to each box and to the list service, and, where the experiment puts a fault
+//! there, one from the front to each proxy. Two proxies never share one, so that any group can be cut off from any
+//! other; each costs two descriptors.
+
+use crate::experiment::{Experiment, LinkFault};
+use crate::fleet::Addresses;
+use crate::links::{Cut, Direction, Fault, FaultError, Link, Links, Tally};
+use crate::samples::Sample;
+use shaletide_testkit::{Clock, Fleet, Law, ListServer, View};
+use std::collections::BTreeMap;
+use std::io;
+use std::net::SocketAddr;
+
+/// The place in a run's addresses of all links' own ends.
+const LINKS_AT: usize = 199;
+
+/// All links of a run.
+#[derive(Debug)]
+pub struct Paths {
+    links: Links,
+    /// By proxy, then by box.
+    boxes: Vec<Vec<Link>>,
+    lists: Vec<Link>,
+    fronts: Vec<Link>,
+    before: BTreeMap<String, [Tally; 2]>,
+}
+
+/// Links that an experiment needs.
+pub fn needed(experiment: &Experiment, boxes: usize) -> usize {
+    experiment.fleet.proxies * (boxes + 2)
+}
+
+impl Paths {
+    /// Lays links from each proxy to each box.
+    ///
+    /// # Errors
+    /// No address, thread or descriptor.
+    pub fn lay(
+        experiment: &Experiment, clock: Clock, seed: u64, addresses: &Addresses, fleet: &Fleet,
+    ) -> io::Result<Paths> {
+        let links = Links::start(clock, seed)?;
+        let ip = addresses.at(LINKS_AT);
+        let mut boxes = Vec::new();
+        for proxy in 0..experiment.fleet.proxies {
+            let near = format!("p{proxy}");
+            let lay = |b: &shaletide_testkit::BoxHandle| {
+                let far = &b.spec.name;
+                links.tcp(&format!("{near}-{far}"), [&near, far], ip, b.address)
+            };
+            boxes.push(fleet.boxes().iter().map(lay).collect::<io::Result<_>>()?);
+        }
+        let paths = Paths { links, boxes, lists: Vec::new(), fronts: Vec::new(), before: BTreeMap::new() };
+        for spare in experiment.boxes.count..fleet.boxes().len() {
+            paths.refuse_box(spare, true);
+        }
+        Ok(paths)
+    }
+
+    /// What each proxy is told of the boxes' addresses.
+    pub fn views(&self, fleet: &Fleet) -> Vec<View> {
+        let names = || fleet.boxes().iter().map(|b| b.spec.name.clone());
+        let view = |links: &Vec<Link>| names().zip(links.iter().map(Link::address)).collect();
+        self.boxes.iter().map(view).collect()
+    }
+
+    /// Lays links from each proxy to the list service.
+    ///
+    /// # Errors
+    /// No address or descriptor.
+    pub fn lead_to_list(&mut self, addresses: &Addresses, list: &ListServer) -> io::Result<()> {
+        for proxy in 0..self.boxes.len() {
+            let near = format!("p{proxy}");
+            let ends = [near.as_str(), "list"];
+            let link = self.links.tcp(&format!("{near}-list"), ends, addresses.at(LINKS_AT), list.address(proxy));
+            self.lists.push(link?);
+        }
+        Ok(())
+    }
+
+    /// Lays links from the front to each proxy, which listen there.
+    ///
+    /// # Errors
+    /// No address or descriptor.
+    pub fn lead_to_proxies(&mut self, addresses: &Addresses, doors: &[SocketAddr]) -> io::Result<()> {
+        for (proxy, door) in doors.iter().enumerate() {
+            let far = format!("p{proxy}");
+            let ends = ["front", far.as_str()];
+            self.fronts.push(self.links.tcp(&format!("front-{far}"), ends, addresses.at(LINKS_AT), *door)?);
+        }
+        Ok(())
+    }
+
+    /// Where a proxy asks for the list.
+    pub fn list(&self, proxy: usize) -> SocketAddr {
+        self.lists[proxy].address()
+    }
+
+    /// Where the front's connections to a proxy go, if through a link.
+    pub fn front(&self, proxy: usize) -> Option<SocketAddr> {
+        Some(self.fronts.get(proxy)?.address())
+    }
+
+    /// Whether connections to that box are refused, as where nobody listens.
+    pub fn refuse_box(&self, number: usize, refuse: bool) {
+        self.boxes.iter().filter_map(|links| links.get(number)).for_each(|link| link.refuse(refuse));
+    }
+
+    /// The same of the front's connections to a proxy.
+    pub fn refuse_proxy(&self, proxy: usize, refuse: bool) {
+        if let Some(link) = self.fronts.get(proxy) {
+            link.refuse(refuse);
+        }
+    }
+
+    /// Puts a fault in force between these proxies and boxes, or makes all of that clean again.
+    ///
+    /// # Errors
+    /// A value out of its range.
+    pub fn set(&self, fault: &LinkFault, proxies: &[String], boxes: &[String], on: bool) -> Result<usize, FaultError> {
+        let near: Vec<&str> = if fault.front { vec!["front"] } else { names(proxies) };
+        let mut far = if fault.front { names(proxies) } else { names(boxes) };
+        if fault.list {
+            far.push("list");
+        }
+        let direction = match (fault.forth, fault.back) {
+            (true, false) => Direction::Forth,
+            (false, true) => Direction::Back,
+            _ => Direction::Both,
+        };
+        let cut = match fault.cut {
+            Some(true) => Cut::Reset,
+            Some(false) => Cut::Silent,
+            None => Cut::None,
+        };
+        let (delay_ms, loss, rate) = (Law::Fixed(fault.delay_ms), fault.loss, fault.rate);
+        let put = if on { Fault { cut, delay_ms, loss, rate, ..Fault::default() } } else { Fault::default() };
+        self.links.set_between(&near, &far, direction, put)
+    }
+
+    /// Names of the links that a fault is between.
+    pub fn touched(&self, fault: &LinkFault, proxies: &[String], boxes: &[String]) -> Vec<String> {
+        let mut touched = Vec::new();
+        for proxy in proxies {
+            if fault.front {
+                touched.push(format!("front-{proxy}"));
+                continue;
+            }
+            touched.extend(boxes.iter().map(|b| format!("{proxy}-{b}")));
+            if fault.list {
+                touched.push(format!("{proxy}-list"));
+            }
+        }
+        touched
+    }
+
+    /// What passed since this was asked last: links over which nothing did are left out.
+    pub fn second(&mut self, at_us: u64) -> Vec<Sample> {
+        let now = self.links.tallies();
+        let mut samples = Vec::new();
+        for (link, tallies) in &now {
+            let before = self.before.get(link).copied().unwrap_or_default();
+            let sum = |of: fn(&Tally) -> u64| -> u64 {
+                tallies.iter().zip(&before).map(|(now, before)| of(now) - of(before)).sum()
+            };
+            let (passed_bytes, passed_while_cut) = (sum(|t| t.passed_bytes), sum(|t| t.passed_bytes_while_cut));
+            if passed_bytes + passed_while_cut > 0 {
+                samples.push(Sample::LinkSecond { at_us, link: link.clone(), passed_bytes, passed_while_cut });
+            }
+        }
+        self.before = now;
+        samples
+    }
+}
+
+fn names(names: &[String]) -> Vec<&str> {
+    names.iter().map(String::as_str).collect()
+}
--- /dev/null
+++ b/crates/lab/src/run/driver.rs
@@ -0,0 +1,434 @@
+//! The timeline carried out, on the caller's thread: it waits for moments, tells the parts, and takes samples.
+
+use super::cpu::Cpu;
+use super::{collect, Options, RunError};
+use crate::clients::{self, Clients};
+use crate::experiment::{Experiment, What};
+use crate::fleet::{operator, runs, Addresses, Door, Own, Processes, Seen, Settings};
+use crate::paths::{needed, Paths};
+use crate::samples::{ProcessEvent, Sample, Touched, MAX_SAMPLES};
+use crate::site::{box_count, start_boxes, Site};
+use crate::timeline::{ends, plan, Action, Due};
+use shaletide_base::{Micros, Time};
+use shaletide_testkit::{BoxStats, Clock};
+use std::collections::VecDeque;
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::sync::atomic::{AtomicU32, Ordering};
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+/// The driver looks at everything so often.
+const TICK: Duration = Duration::from_millis(2);
+/// So many lines of a process's log are shown where it never was ready.
+const LAST_LINES: usize = 5;
+
+/// A folder that is removed with all in it, unless it was asked for by name.
+struct Root {
+    path: PathBuf,
+    keep: bool,
+}
+
+impl Root {
+    fn new(out: Option<&Path>) -> Result<Root, RunError> {
+        static RUNS: AtomicU32 = AtomicU32::new(0);
+        let number = RUNS.fetch_add(1, Ordering::Relaxed);
+        let own = || std::env::temp_dir().join(format!("shaletide-lab-{}-{number}", std::process::id()));
+        let path = out.map_or_else(own, Path::to_path_buf);
+        std::fs::create_dir_all(&path).map_err(|e| RunError::Folder(path.clone(), e))?;
+        Ok(Root { path, keep: out.is_some() })
+    }
+}
+
+impl Drop for Root {
+    fn drop(&mut self) {
+        if !self.keep {
+            let _ = std::fs::remove_dir_all(&self.path);
+        }
+    }
+}
+
+/// A run at work. Parts end in this order: those that ask, the processes, what these lead to.
+struct Driver<'a> {
+    experiment: Arc<Experiment>,
+    options: &'a Options,
+    seed: u64,
+    clock: Clock,
+    zero: Time,
+    clients: Option<Clients>,
+    processes: Processes,
+    paths: Paths,
+    site: Site,
+    samples: Vec<Sample>,
+    cpu: Cpu,
+    before: Vec<BoxStats>,
+    calls: u64,
+    /// How late the driver itself was at worst in this second.
+    late: Micros,
+    last_lines: Vec<VecDeque<String>>,
+    void: Vec<String>,
+    // Last, so that it goes when nobody uses it any more.
+    _root: Root,
+}
+
+/// See [`super::run`].
+pub fn run(experiment: &Experiment, options: &Options) -> Result<Vec<Sample>, RunError> {
+    if !runs(options.program.as_os_str()) {
+        return Err(RunError::NoProgram(options.program.clone()));
+    }
+    let mut driver = Driver::new(experiment, options)?;
+    if driver.started()? {
+        driver.play()?;
+    }
+    driver.finish()
+}
+
+/// Lets this process have as many descriptors as it may, and says whether that is enough.
+fn descriptors(experiment: &Experiment) -> Result<(), RunError> {
+    use rustix::process::{getrlimit, setrlimit, Resource, Rlimit};
+    let boxes = box_count(experiment);
+    let clients = experiment.load.connections.min((experiment.load.requests_per_s * 2.0) as usize);
+    let needed = (2 * needed(experiment, boxes) + 2 * boxes + 6 * experiment.fleet.proxies + 256) as u64
+        + clients as u64
+        + 4 * (experiment.load.requests_per_s as u64).min(4_000);
+    let limit = getrlimit(Resource::Nofile);
+    let have = limit.maximum.unwrap_or(u64::MAX);
+    let _ = setrlimit(Resource::Nofile, Rlimit { current: limit.maximum, maximum: limit.maximum });
+    if have < needed {
+        return Err(RunError::Descriptors { needed, have });
+    }
+    Ok(())
+}
+
+impl<'a> Driver<'a> {
+    fn new(experiment: &Experiment, options: &'a Options) -> Result<Driver<'a>, RunError> {
+        descriptors(experiment)?;
+        let root = Root::new(options.out.as_deref())?;
+        let (seed, clock) = (options.seed.unwrap_or(experiment.seed), Clock::start());
+        let (addresses, count) = (Addresses::new(), experiment.fleet.proxies);
+        let mut doors = Vec::new();
+        for p in 0..count {
+            let door = Door::new(addresses.at(p), experiment.fleet.port);
+            doors.push(door.map_err(|e| RunError::Address(p, e))?);
+        }
+        let fleet = start_boxes(experiment, seed, clock).map_err(RunError::Site)?;
+        let mut paths = Paths::lay(experiment, clock, seed, &addresses, &fleet).map_err(RunError::Site)?;
+        let views = paths.views(&fleet);
+        let site = Site::new(experiment, fleet, views).map_err(RunError::Site)?;
+        paths.lead_to_list(&addresses, &site.list).map_err(RunError::Site)?;
+        if experiment.cuts_front() {
+            let doors: Vec<SocketAddr> = doors.iter().map(|d| d.address).collect();
+            paths.lead_to_proxies(&addresses, &doors).map_err(RunError::Site)?;
+        }
+        let settings = Settings {
+            lab: options.lab.clone(),
+            program: options.program.canonicalize().unwrap_or_else(|_| options.program.clone()),
+            descriptors: experiment.fleet.descriptors,
+            kill_after: experiment.fleet.kill_after,
+        };
+        let folder = |e| RunError::Folder(root.path.clone(), e);
+        let processes = Processes::new(settings, doors, &root.path).map_err(folder)?;
+        let samples = collect::head(experiment, seed, &options.command);
+        let mut driver = Driver {
+            experiment: Arc::new(experiment.clone()),
+            options,
+            seed,
+            clock,
+            zero: Time(0),
+            clients: None,
+            processes,
+            paths,
+            site,
+            samples,
+            cpu: Cpu::default(),
+            before: Vec::new(),
+            calls: 0,
+            late: Micros(0),
+            last_lines: vec![VecDeque::new(); count],
+            void: Vec::new(),
+            _root: root,
+        };
+        (0..count).for_each(|p| driver.set_file(p, &experiment.fleet.more));
+        Ok(driver)
+    }
+
+    fn file(&self, proxy: usize, more: &str) -> String {
+        let listens = self.processes.address(proxy);
+        let own = Own { proxy, listens, list: self.paths.list(proxy), seed: self.seed };
+        operator(&self.experiment, own, more)
+    }
+
+    fn set_file(&mut self, proxy: usize, more: &str) {
+        let text = self.file(proxy, more);
+        self.processes.set_file(proxy, text);
+    }
+
+    fn say(&self, text: &str) {
+        if !self.options.quiet {
+            eprintln!("{text}");
+        }
+    }
+
+    fn stopped(&mut self) -> bool {
+        let stopped = self.options.stop.load(Ordering::Relaxed);
+        if stopped && self.void.is_empty() {
+            self.void.push("it was interrupted".into());
+        }
+        stopped
+    }
+
+    /// Starts all processes and waits until they are ready. Whether they are.
+    fn started(&mut self) -> Result<bool, RunError> {
+        let (count, begun) = (self.experiment.fleet.proxies, Instant::now());
+        for proxy in 0..count {
+            self.processes.start(proxy, true).map_err(RunError::Process)?;
+        }
+        while self.processes.ready() < count {
+            self.processes.tick().map_err(RunError::Process)?;
+            self.take_seen();
+            let dead = self.processes.unready().iter().any(|(_, up)| !up);
+            if self.stopped() || dead || begun.elapsed() > self.experiment.fleet.ready_within {
+                std::thread::sleep(Duration::from_millis(50)); // for the last words of one that has ended
+                let _ = self.processes.tick();
+                self.take_seen();
+                self.say_who_is_not_ready(begun.elapsed());
+                return Ok(false);
+            }
+            std::thread::sleep(TICK);
+        }
+        self.say(&format!("{count} proxies ready after {:.1} s", begun.elapsed().as_secs_f64()));
+        Ok(true)
+    }
+
+    fn say_who_is_not_ready(&mut self, after: Duration) {
+        for (proxy, up) in self.processes.unready() {
+            let how = if up { "is not ready" } else { "has ended" };
+            let said: Vec<&str> = self.last_lines[proxy].iter().map(String::as_str).collect();
+            let said = if said.is_empty() { "it said nothing".into() } else { said.join(" | ") };
+            self.void.push(format!("p{proxy} {how} after {:.1} s: {said}", after.as_secs_f64()));
+        }
+    }
+
+    /// Carries out the timeline while clients ask.
+    fn play(&mut self) -> Result<(), RunError> {
+        let mut plan: VecDeque<Due> = plan(&self.experiment).into();
+        let proxies = 0..self.experiment.fleet.proxies;
+        let addresses = proxies.map(|p| self.paths.front(p).unwrap_or(self.processes.address(p))).collect();
+        self.zero = self.clock.now();
+        self.before = self.site.fleet.boxes().iter().map(|b| b.stats()).collect();
+        self.calls = self.site.list.calls();
+        self.cpu.taken(&self.processes.pids());
+        let start = clients::Start {
+            experiment: self.experiment.clone(),
+            seed: self.seed,
+            clock: self.clock,
+            zero: self.zero,
+            proxies: addresses,
+        };
+        self.clients = Some(Clients::start(start).map_err(RunError::Clients)?);
+        let (begun, mut second) = (self.clock.instant(self.zero), 0u32);
+        while !self.clients.as_ref().is_none_or(Clients::done) {
+            if self.stopped() || self.samples.len() > MAX_SAMPLES / 2 {
+                break;
+            }
+            while plan.front().is_some_and(|due| begun + due.at <= Instant::now()) {
+                let Some(due) = plan.pop_front() else { break };
+                let late = Instant::now().saturating_duration_since(begun + due.at);
+                self.late = self.late.max(Micros(late.as_micros() as u64));
+                self.act(&due.action)?;
+            }
+            self.processes.tick().map_err(RunError::Process)?;
+            self.take_seen();
+            self.site.tick();
+            if Instant::now() >= begun + Duration::from_secs(u64::from(second) + 1) {
+                self.sample(second);
+                second += 1;
+            }
+            std::thread::sleep(TICK);
+        }
+        Ok(())
+    }
+
+    fn now_us(&self) -> u64 {
+        (self.clock.now() - self.zero).0
+    }
+
+    fn act(&mut self, action: &Action) -> Result<(), RunError> {
+        match action {
+            Action::Mark(step) => self.mark(*step),
+            Action::Signal(proxy, signal) => self.processes.signal(*proxy, *signal),
+            Action::Start { proxy, fresh } => {
+                self.processes.start(*proxy, *fresh).map_err(RunError::Process)?;
+            }
+            Action::Reload(proxy, step) => {
+                if let What::Reload { more } = &self.experiment.steps[*step].what {
+                    let text = self.file(*proxy, more);
+                    self.processes.reload(*proxy, text).map_err(RunError::Process)?;
+                }
+            }
+            Action::Links(step, on) => self.set_links(*step, *on),
+            Action::List(state) => self.site.set_list(*state),
+            Action::Drain(place) => self.site.drain(*place),
+            Action::KillBox(place) => {
+                self.refuse_place(*place, true);
+                self.site.kill(*place);
+            }
+            Action::StartBox(place) => {
+                self.refuse_place(*place, false);
+                self.site.start(*place);
+            }
+            Action::Replace(place) => {
+                (0..self.site.fleet.boxes().len())
+                    .filter(|b| b % self.experiment.boxes.count == *place)
+                    .for_each(|b| self.paths.refuse_box(b, false));
+                self.site.replace(*place);
+            }
+            Action::Replaced(place) => {
+                let old = self.site.replaced(*place);
+                if let Some(old) = old {
+                    self.paths.refuse_box(old, true);
+                }
+            }
+            Action::Box(place, fault) => self.site.fault(*place, *fault),
+            Action::Burst(times) => {
+                if let Some(clients) = &self.clients {
+                    clients.burst(*times);
+                }
+            }
+        }
+        Ok(())
+    }
+
+    /// Who stands there takes no connections; its links say so before it dies, so that none is taken and reset.
+    fn refuse_place(&self, place: usize, refuse: bool) {
+        self.paths.refuse_box(self.site.number(place), refuse);
+    }
+
+    /// Names of the proxies and of all who may stand in the places that a step's links lead to.
+    fn link_ends(&self, proxies: &[usize], boxes: &[usize]) -> (Vec<String>, Vec<String>) {
+        let (count, all) = (self.experiment.boxes.count, box_count(&self.experiment));
+        let both = boxes.iter().flat_map(|b| [*b, b + count]).filter(|b| *b < all);
+        let boxes = both.map(|b| self.experiment.box_name(b)).collect();
+        (proxies.iter().map(|p| format!("p{p}")).collect(), boxes)
+    }
+
+    fn set_links(&mut self, step: usize, on: bool) {
+        let experiment = self.experiment.clone();
+        if let What::Links { fault, proxies, boxes } = &experiment.steps[step].what {
+            let (proxies, boxes) = self.link_ends(proxies, boxes);
+            if let Err(e) = self.paths.set(fault, &proxies, &boxes, on) {
+                self.void.push(format!("{}: {e}", experiment.steps[step].label));
+            }
+        }
+    }
+
+    fn mark(&mut self, step: usize) {
+        let experiment = self.experiment.clone();
+        let step = &experiment.steps[step];
+        let numbers = |list: &[usize]| list.iter().map(|n| *n as u32).collect::<Vec<u32>>();
+        let mut touches = Touched {
+            proxies: numbers(&step.proxies),
+            boxes: step.boxes.iter().map(|place| self.site.number(*place) as u32).collect(),
+            list: matches!(step.what, What::List(_)),
+            ..Touched::default()
+        };
+        if let What::Links { fault, proxies, boxes } = &step.what {
+            let (near, far) = self.link_ends(proxies, boxes);
+            touches.links = self.paths.touched(fault, &near, &far);
+            if fault.front {
+                touches.clients_of = numbers(proxies);
+            } else {
+                touches.boxes = numbers(boxes);
+            }
+        }
+        let ends_us = ends(step).map(|at| at.as_micros() as u64);
+        let at_us = self.now_us();
+        self.say(&format!("{:5.1} s  {}", at_us as f64 / 1e6, step.label));
+        self.samples.push(Sample::Fault { at_us, label: step.label.clone(), ends_us, touches });
+    }
+
+    /// Takes in what happened to processes.
+    fn take_seen(&mut self) {
+        for (at, proxy, seen) in self.processes.seen() {
+            let at_us = (self.clock.at(at) - self.zero).0;
+            let number = proxy as u32;
+            match seen {
+                Seen::Log(line) => {
+                    let last = &mut self.last_lines[proxy];
+                    last.push_back(line.clone());
+                    if last.len() > LAST_LINES {
+                        last.pop_front();
+                    }
+                    self.samples.push(Sample::Log { at_us, proxy: number, line });
+                }
+                Seen::Process(what) => {
+                    match what {
+                        ProcessEvent::Killed | ProcessEvent::Exited { .. } => self.paths.refuse_proxy(proxy, true),
+                        ProcessEvent::Ready => self.paths.refuse_proxy(proxy, false),
+                        _ => {}
+                    }
+                    self.samples.push(Sample::Process { at_us, proxy: number, what });
+                }
+            }
+        }
+    }
+
+    /// Takes the samples of a second that is over.
+    fn sample(&mut self, second: u32) {
+        let at_us = u64::from(second) * 1_000_000;
+        let now: Vec<BoxStats> = self.site.fleet.boxes().iter().map(|b| b.stats()).collect();
+        let mut requests = 0;
+        for (at_box, (now, before)) in now.iter().zip(&self.before).enumerate() {
+            let grown = |now: u64, before: u64| now.saturating_sub(before) as u32;
+            requests += grown(now.requests, before.requests);
+            self.samples.push(Sample::BoxSecond {
+                at_us,
+                at_box: at_box as u32,
+                open: now.open as u32,
+                handshakes: grown(now.connections, before.connections),
+                requests: grown(now.requests, before.requests),
+            });
+        }
+        self.before = now;
+        let calls = self.site.list.calls();
+        let grown = (calls - std::mem::replace(&mut self.calls, calls)) as u32;
+        self.samples.push(Sample::ListSecond { at_us, calls: grown });
+        self.samples.extend(self.paths.second(at_us));
+        let clients = self.clients.as_ref().map_or(Micros(0), Clients::late);
+        let late = clients.max(std::mem::take(&mut self.late));
+        let (cpu_ms, fleet_cpu_ms) = self.cpu.taken(&self.processes.pids());
+        self.samples.push(Sample::Lab { at_us, late_us: late.0, cpu_ms, fleet_cpu_ms });
+        let most = Micros(self.experiment.load.late_most.as_micros() as u64);
+        if late > most {
+            let (late, most) = (late.secs() * 1e3, most.secs() * 1e3);
+            self.void.push(format!("the lab itself ran {late:.0} ms late in second {second}, over {most:.0} ms"));
+        }
+        let (ready, count) = (self.processes.ready(), self.experiment.fleet.proxies);
+        let (tries, served, refused) = self.clients.as_ref().map_or((0, 0, 0), Clients::totals);
+        self.say(&format!(
+            "{:3} s  {tries} tries so far, {served} served, {refused} refused; {ready}/{count} proxies ready, \
+             {requests} requests at boxes",
+            second + 1
+        ));
+    }
+
+    /// Ends everything and gathers what was written down.
+    fn finish(mut self) -> Result<Vec<Sample>, RunError> {
+        if let Some(clients) = self.clients.take() {
+            let heard = if self.void.is_empty() { clients.finish() } else { clients.end() };
+            self.void.extend(heard.void);
+            self.samples.extend(heard.tries);
+            let (tries, served, refused) = heard.totals;
+            self.samples.push(Sample::Totals { tries, served, refused });
+        }
+        self.processes.end();
+        collect::records(&self.experiment, &self.site, self.zero, &mut self.samples);
+        if self.samples.len() + self.void.len() > MAX_SAMPLES {
+            self.void.push(format!("more than {MAX_SAMPLES} samples"));
+            self.samples.truncate(MAX_SAMPLES - self.void.len());
+        }
+        let void = std::mem::take(&mut self.void);
+        self.samples.extend(void.into_iter().map(|reason| Sample::Void { reason }));
+        Ok(std::mem::take(&mut self.samples))
+    }
+}
--- a/crates/lab/src/site.rs
+++ b/crates/lab/src/site.rs
@@ -105,6 +105,11 @@
         Ok(Site { fleet, list, stands, held: VecDeque::new(), usual, late: usual, frozen: false, clock })
     }
 
+    /// The number of the box that stands in that place.
+    pub fn number(&self, place: usize) -> usize {
+        self.stands[place]
+    }
+
     /// Who stands in that place.
     pub fn stands(&self, place: usize) -> &BoxHandle {
         &self.fleet.boxes()[self.stands[place]]
@@ -179,14 +184,15 @@
         }
     }
 
-    /// The box that was replaced there ends, and leaves the list.
-    pub fn replaced(&mut self, place: usize) {
+    /// The box that was replaced there ends, and leaves the list. Its number, if there is one.
+    pub fn replaced(&mut self, place: usize) -> Option<usize> {
         let (count, new) = (self.stands.len(), self.stands[place]);
         let old = if new < count { new + count } else { new - count };
-        let Some(handle) = self.fleet.boxes().get(old) else { return };
+        let handle = self.fleet.boxes().get(old)?;
         handle.kill();
         let name = handle.spec.name.clone();
         self.change(Change::Delete(name));
+        Some(old)
     }
 
     /// Who stands there does something else than its work.
