--- /dev/null
+++ b/crates/lab/src/own.rs
@@ -0,0 +1,36 @@
+//! The lab's own experiments.
+
+/// Name and text of each.
+pub const EXPERIMENTS: [(&str, &str); 11] = [
+    ("calm", include_str!("../experiments/calm.toml")),
+    ("rolling-restart", include_str!("../experiments/rolling-restart.toml")),
+    ("herd-70", include_str!("../experiments/herd-70.toml")),
+    ("all-killed", include_str!("../experiments/all-killed.toml")),
+    ("zone-cut", include_str!("../experiments/zone-cut.toml")),
+    ("one-way-cut", include_str!("../experiments/one-way-cut.toml")),
+    ("list-dead-restart", include_str!("../experiments/list-dead-restart.toml")),
+    ("replace-half-restart-half", include_str!("../experiments/replace-half-restart-half.toml")),
+    ("frozen-10s", include_str!("../experiments/frozen-10s.toml")),
+    ("old-list", include_str!("../experiments/old-list.toml")),
+    ("example", include_str!("../experiments/example.toml")),
+];
+
+/// The text of the one of that name.
+pub fn text(name: &str) -> Option<&'static str> {
+    EXPERIMENTS.iter().find(|(known, _)| *known == name).map(|(_, text)| *text)
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::experiment::Experiment;
+
+    #[test]
+    fn each_is_sound_goes_by_its_name_and_says_what_it_is_for() {
+        for (name, text) in EXPERIMENTS {
+            let experiment = Experiment::read(name, text).unwrap_or_else(|m| panic!("{m}"));
+            assert_eq!(experiment.name, name);
+            assert!(!experiment.about.is_empty() && !experiment.expect.is_empty(), "{name}");
+        }
+    }
+}
