--- a/crates/lab/src/judge/expect.rs
+++ b/crates/lab/src/judge/expect.rs
@@ -93,7 +93,7 @@
 }
 
 /// A figure as far as it is known.
-#[derive(Clone, Debug, PartialEq, Serialize)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Measured {
     /// That.
--- a/crates/lab/src/judge/mod.rs
+++ b/crates/lab/src/judge/mod.rs
@@ -27,10 +27,10 @@
 use expect::{Expectation, Judged, Measured, Outcome};
 use facts::Facts;
 use findings::Findings;
-use serde::Serialize;
+use serde::{Deserialize, Serialize};
 
 /// What is made of a run.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Ruling {
     /// No rule broke, every fault met requests, all was as expected.
--- a/crates/lab/src/report.rs
+++ /dev/null
@@ -1,1 +0,0 @@
-//! Shows a verdict: as text for a terminal and as one HTML page.
--- a/crates/lab/tests/judge/main.rs
+++ b/crates/lab/tests/judge/main.rs
@@ -1,5 +1,8 @@
-//! The judge over runs made by hand.
+//! The judge over runs made by hand, and what is made of its verdicts.
 
 mod common;
+mod compare;
 mod lies;
 mod recovery;
+mod report;
+mod samples;
