--- a/crates/lab/src/experiment/mod.rs
+++ b/crates/lab/src/experiment/mod.rs
@@ -253,22 +253,10 @@
     Experiment { name, about, length, seed, fleet, boxes, list, load, front, classes, tenants, steps, expect }
 }
 
-const METRICS: [(&str, Metric); 9] = [
-    ("served_share", Metric::ServedShare),
-    ("time_to_full_service_s", Metric::TimeToFullServiceS),
-    ("worst_second", Metric::WorstSecond),
-    ("share_lost", Metric::ShareLost),
-    ("handshakes_peak_ratio", Metric::HandshakesPeakRatio),
-    ("list_calls_peak_ratio", Metric::ListCallsPeakRatio),
-    ("attempts_per_request", Metric::AttemptsPerRequest),
-    ("settles_twice", Metric::SettlesTwice),
-    ("rules_broken", Metric::RulesBroken),
-];
-
 fn expectations(root: &Table<'_>, steps: &[Step]) -> Vec<Expectation> {
     let read = |table: &Table<'_>| {
-        let word = table.word_needed("metric", &METRICS.map(|(word, _)| word));
-        let metric = METRICS.iter().find(|(known, _)| *known == word).map_or(Metric::ServedShare, |m| m.1);
+        let word = table.word_needed("metric", &Metric::ALL.map(Metric::name));
+        let metric = Metric::ALL.into_iter().find(|m| m.name() == word).unwrap_or(Metric::ServedShare);
         let at_most = table.number("at_most", (0.0, 1e9));
         let at_least = table.number("at_least", (0.0, 1e9));
         if !table.has("at_most") && !table.has("at_least") {
@@ -280,6 +268,9 @@
             let labels = steps.iter().map(|s| format!("\"{}\"", s.label)).collect::<Vec<_>>().join(", ");
             table.wrong_key("after", &format!("no step is labelled \"{label}\""), format!("one of: {labels}"));
         }
+        if after.is_some() && metric.whole_run() {
+            table.wrong_key("after", &format!("{word} is of the whole run"), "expected no `after` with it");
+        }
         table.end();
         Expectation { metric, at_most, at_least, after }
     };
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod front;
 pub mod judge;
 pub mod links;
+pub mod own;
 pub mod paths;
 pub mod report;
 pub mod run;
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -5,11 +5,12 @@
 
 use clap::Parser;
 use cli::{Cli, Command, With};
+use shaletide_lab::compare::{compared, compared_text, repeated, repeated_text, Figures};
 use shaletide_lab::experiment::{Experiment, MAX_FILE};
-use shaletide_lab::judge::{judge, Verdict};
+use shaletide_lab::judge::{judge, Ruling, Verdict};
 use shaletide_lab::run::{run, Options};
 use shaletide_lab::samples::{self, Sample};
-use shaletide_lab::{fleet, own};
+use shaletide_lab::{fleet, own, report};
 use std::fs;
 use std::io::{BufReader, BufWriter, Read};
 use std::path::{Path, PathBuf};
@@ -38,7 +39,7 @@
         Command::Compare { first, second, by, pairs, with } => {
             compare([&first, &second], by.as_deref(), pairs, &with)
         }
-        Command::Report { dir } => report(&dir),
+        Command::Report { dir } => judge_again(&dir),
     };
     match done {
         Ok(status) => ExitCode::from(status),
@@ -144,8 +145,8 @@
     if let Some(dir) = out {
         keep(&dir, &asked.text, &samples, &verdict).map_err(|e| (format!("{}: {e}", dir.display()), VOID))?;
     }
-    show(&verdict, &samples);
-    Ok(verdict.exit_code())
+    print!("{}", report::text(&verdict));
+    Ok(status(&verdict))
 }
 
 fn keep(dir: &Path, text: &str, samples: &[Sample], verdict: &Verdict) -> Result<(), String> {
@@ -153,5 +154,92 @@
     fs::write(dir.join("experiment.toml"), text).map_err(|e| e.to_string())?;
     let file = fs::File::create(dir.join("samples.jsonl")).map_err(|e| e.to_string())?;
     samples::write(BufWriter::new(file), samples).map_err(|e| shaletide_base::causes(&e))?;
-    page(dir, samples, verdict)
+    page(dir, verdict)
+}
+
+fn page(dir: &Path, verdict: &Verdict) -> Result<(), String> {
+    fs::write(dir.join("report.html"), report::html(verdict)).map_err(|e| e.to_string())?;
+    let json = serde_json::to_vec_pretty(verdict).map_err(|e| e.to_string())?;
+    fs::write(dir.join("verdict.json"), json).map_err(|e| e.to_string())
+}
+
+fn status(verdict: &Verdict) -> u8 {
+    match verdict.ruling {
+        Ruling::Passed => 0,
+        Ruling::Void => VOID,
+        _ => 1,
+    }
+}
+
+fn repeat(file: &Path, seeds: u32, with: &With) -> Result<u8, Failure> {
+    let (asked, stop) = (read(file)?, stop_flag()?);
+    let first = with.seed.unwrap_or(asked.experiment.seed);
+    let mut runs = Vec::new();
+    for seed in first..first + u64::from(seeds) {
+        if stop.load(Ordering::Relaxed) {
+            break;
+        }
+        let with = With { seed: Some(seed), ..with.clone() };
+        let verdict = judged(&asked, &options(&with, file, None, &stop)?)?;
+        eprintln!("seed {seed}: {:?}", verdict.ruling);
+        runs.push(Figures::of(&verdict));
+    }
+    print!("{}", repeated_text(&repeated(&runs)));
+    Ok(worst(&runs))
+}
+
+/// The status of several runs: that something failed counts more than that one said nothing.
+fn worst(runs: &[Figures]) -> u8 {
+    let any = |ruling: Ruling| runs.iter().any(|run| run.ruling == ruling);
+    match () {
+        () if any(Ruling::Failed) => 1,
+        () if any(Ruling::Void) || runs.is_empty() => VOID,
+        () => 0,
+    }
+}
+
+fn judged(asked: &Asked, options: &Options) -> Result<Verdict, Failure> {
+    let samples = sampled(asked, options)?;
+    Ok(judge(&samples, &asked.experiment.expect))
+}
+
+/// Two programs by one experiment where there is one; else one program by two experiments.
+fn compare(sides: [&Path; 2], by: Option<&Path>, pairs: u32, with: &With) -> Result<u8, Failure> {
+    let stop = stop_flag()?;
+    let mut variants = Vec::new();
+    for side in sides {
+        let file = by.unwrap_or(side);
+        let program = if by.is_some() { side.to_path_buf() } else { with.program.clone() };
+        variants.push((read(file)?, file, With { program, ..with.clone() }));
+    }
+    let first = with.seed.unwrap_or(variants[0].0.experiment.seed);
+    let mut runs = [Vec::new(), Vec::new()];
+    for pair in 0..pairs {
+        let seed = first + u64::from(pair);
+        // In turns, and each goes first as often as the other: a machine that warms up or tires favours neither.
+        let order = if pair % 2 == 0 { [0, 1] } else { [1, 0] };
+        for side in order {
+            if stop.load(Ordering::Relaxed) {
+                break;
+            }
+            let (asked, file, with) = &variants[side];
+            let with = With { seed: Some(seed), ..with.clone() };
+            let verdict = judged(asked, &options(&with, file, None, &stop)?)?;
+            eprintln!("pair {}, {}: {:?}", pair + 1, sides[side].display(), verdict.ruling);
+            runs[side].push(Figures::of(&verdict));
+        }
+    }
+    print!("{}", compared_text(&compared(&runs[0], &runs[1])));
+    Ok(if runs.iter().flatten().all(|run| run.ruling == Ruling::Void) { VOID } else { 0 })
+}
+
+fn judge_again(dir: &Path) -> Result<u8, Failure> {
+    let asked = read(&dir.join("experiment.toml"))?;
+    let path = dir.join("samples.jsonl");
+    let file = fs::File::open(&path).map_err(|e| senseless(format!("cannot read {}: {e}", path.display())))?;
+    let samples = samples::read(BufReader::new(file)).map_err(|e| senseless(shaletide_base::causes(&e)))?;
+    let verdict = judge(&samples, &asked.experiment.expect);
+    page(dir, &verdict).map_err(|e| (format!("{}: {e}", dir.display()), VOID))?;
+    print!("{}", report::text(&verdict));
+    Ok(status(&verdict))
 }
