--- a/crates/lab/src/experiment/mod.rs
+++ b/crates/lab/src/experiment/mod.rs
@@ -65,6 +65,8 @@
     pub zones: Vec<String>,
     /// File descriptors of each.
     pub descriptors: u64,
+    /// The address of the first; the others have those that follow. None: the lab picks.
+    pub first_address: Option<std::net::Ipv4Addr>,
     /// Where each listens, on an address of its own; 0: the kernel picks.
     pub port: u16,
     /// All have to be ready after so long.
--- a/crates/lab/src/experiment/parts.rs
+++ b/crates/lab/src/experiment/parts.rs
@@ -11,6 +11,7 @@
         proxies: table.whole_or("proxies", (1, 60), 12) as usize,
         zones: zones(table),
         descriptors: table.whole_or("descriptors", (128, 1_000_000), 1024),
+        first_address: table.loopback("first_address"),
         port: table.whole_or("port", (0, 65_535), 0) as u16,
         ready_within: table.time_or("ready_within", (0.1, 600.0), 15.0),
         kill_after: table.time_or("kill_after", (0.1, 600.0), 5.0),
--- a/crates/lab/src/experiment/reader.rs
+++ b/crates/lab/src/experiment/reader.rs
@@ -3,6 +3,7 @@
 use super::findings::Findings;
 use std::cell::RefCell;
 use std::collections::BTreeSet;
+use std::net::Ipv4Addr;
 use std::ops::{Range, RangeInclusive};
 use std::time::Duration;
 use toml::de::{DeTable, DeValue};
@@ -164,6 +165,14 @@
         self.read(key, &expected, |value| Some(value.as_str().filter(|t| t.len() <= TEXT)?.to_string()))
     }
 
+    /// An address of 127.0.0.0/8 with room for those behind it.
+    pub fn loopback(&self, key: &'static str) -> Option<Ipv4Addr> {
+        self.read(key, "an address from \"127.0.0.1\" to \"127.255.255.1\"", |value| {
+            let address: Ipv4Addr = value.as_str()?.parse().ok()?;
+            (address.is_loopback() && address <= Ipv4Addr::new(127, 255, 255, 1)).then_some(address)
+        })
+    }
+
     /// A name of letters, digits, `-`, `_` and `.`.
     pub fn name(&self, key: &'static str) -> Option<String> {
         self.read(key, NAMES, |value| named(value.as_str()?))
--- a/crates/lab/src/fleet/place.rs
+++ b/crates/lab/src/fleet/place.rs
@@ -12,27 +12,21 @@
 /// that the kernel picks differ.
 #[derive(Clone, Copy, Debug)]
 pub struct Addresses {
-    net: u32,
+    first: u32,
 }
 
 impl Addresses {
-    /// Those of a new run of this process.
-    pub fn new() -> Addresses {
+    /// From that one on, or those of a new run of this process. None is `127.0.0.1`.
+    pub fn new(first: Option<Ipv4Addr>) -> Addresses {
         let run = RUNS.fetch_add(1, Ordering::Relaxed);
-        let mixed = std::process::id().wrapping_mul(2_654_435_761).wrapping_add(run);
-        Addresses { net: mixed >> 3 & 0x3fff }
+        let mixed = std::process::id().wrapping_mul(2_654_435_761).wrapping_add(run.wrapping_mul(40_503)) >> 3;
+        let own = Ipv4Addr::new(127, 64 + (mixed >> 8 & 0x3f) as u8, mixed as u8, 1);
+        Addresses { first: first.unwrap_or(own).to_bits() }
     }
 
-    /// The address of a place from 0 to 199. None is `127.0.0.1` or ends in 0 or 255.
+    /// The address of a place from 0 to 199.
     pub fn at(&self, place: usize) -> IpAddr {
-        let [high, low] = [(self.net >> 8) as u8, self.net as u8];
-        IpAddr::V4(Ipv4Addr::new(127, 64 + high, low, 1 + (place % 200) as u8))
-    }
-}
-
-impl Default for Addresses {
-    fn default() -> Addresses {
-        Addresses::new()
+        IpAddr::V4(Ipv4Addr::from_bits(self.first + (place % 200) as u32))
     }
 }
 
--- a/crates/lab/src/run/driver.rs
+++ b/crates/lab/src/run/driver.rs
@@ -105,7 +105,7 @@
         descriptors(experiment)?;
         let root = Root::new(options.out.as_deref())?;
         let (seed, clock) = (options.seed.unwrap_or(experiment.seed), Clock::start());
-        let (addresses, count) = (Addresses::new(), experiment.fleet.proxies);
+        let (addresses, count) = (Addresses::new(experiment.fleet.first_address), experiment.fleet.proxies);
         let mut doors = Vec::new();
         for p in 0..count {
             let door = Door::new(addresses.at(p), experiment.fleet.port);
@@ -134,7 +134,8 @@
             options,
             seed,
             clock,
-            zero: Time(0),
+            // Until clients ask, all that happens is put at the beginning.
+            zero: Time(u64::MAX),
             clients: None,
             processes,
             paths,
