--- a/crates/lab/src/experiment/mod.rs
+++ b/crates/lab/src/experiment/mod.rs
@@ -195,6 +195,10 @@
             let at = error.span().unwrap_or(0..0);
             findings.borrow_mut().add(at, "this is not TOML", error.message());
         }
+        if !errors.is_empty() {
+            // What they have spoilt would be named as missing.
+            return Err(findings.into_inner().report(file, text));
+        }
         let root = Table::new(String::new(), Some(tree.get_ref()), 0..0, &findings);
         let experiment = whole(&root);
         drop(root);
--- a/crates/lab/src/experiment/steps.rs
+++ b/crates/lab/src/experiment/steps.rs
@@ -167,7 +167,9 @@
     let over = table.time_or("over", (0.0, 3600.0), 0.0);
     let what = what(table, groups, word, &members);
     let lasts = lasting(word).then(|| table.time("lasts", Duration::from_millis(1)..=Duration::from_secs(3600)));
-    check_who(table, word, &members, !who.is_empty());
+    if who.iter().all(|(name, _)| groups.get(name).is_some()) {
+        check_who(table, word, &members, !who.is_empty());
+    }
     let named = who.iter().map(|(name, _)| name.as_str()).collect::<Vec<_>>().join(",");
     let label = table.text("label").filter(|l| !l.is_empty());
     let label = label.unwrap_or_else(|| format!("{word} {named} at {}s", at.as_secs_f64()));
