--- a/crates/lab/src/judge/recovery.rs
+++ b/crates/lab/src/judge/recovery.rs
@@ -76,8 +76,8 @@
     pub before: Option<Before>,
     /// When it was full again.
     pub full: Full,
-    /// Seconds after that, up to the end of the fault's [aftermath](super::findings::AFTER_S), in which the share was below what
-    /// counts as full.
+    /// Seconds in which the share was below what counts as full, from [`HOLD_S`] after that on, up to the next fault and
+    /// no further than the end of the [aftermath](super::findings::AFTER_S).
     pub relapsed_s: usize,
     /// The faults that it overlaps with.
     pub overlaps: Vec<String>,
@@ -147,7 +147,8 @@
         let settled = settled_us(full, fault.at_us);
         group = before.map(|b| (b, settled.max(open.map_or(0, |(_, at)| at))));
         spans.push((fault.at_us, settled));
-        let upto = aftermaths.get(n).copied().unwrap_or(0);
+        let next = faults.get(n + 1).map_or(usize::MAX, |next| (next.at_us / SECOND_US) as usize);
+        let upto = aftermaths.get(n).copied().unwrap_or(0).min(next);
         let relapsed_s = before.map_or(0, |b| relapsed_s(series, &b, settled, upto));
         found.push(Recovery { before, full, relapsed_s, overlaps: Vec::new() });
     }
--- a/crates/lab/src/report/page.rs
+++ b/crates/lab/src/report/page.rs
@@ -4,7 +4,6 @@
 use super::tables::{self, Table};
 use super::text::ruling;
 use crate::judge::findings::By;
-use crate::judge::standing::Standing;
 use crate::judge::{Ruling, Verdict};
 use std::fmt::Write;
 
@@ -14,7 +13,7 @@
 .wide{overflow-x:auto}pre{background:#f5f5f5;padding:8px;overflow-x:auto;font-size:12px}\
 .ruling{display:inline-block;padding:3px 12px;color:#fff;font-weight:bold}.passed{background:#007a50}\
 .failed{background:#b3261e}.void{background:#666}svg{max-width:100%;height:auto}\
-.key{display:inline-block;width:11px;height:11px;margin:0 4px 0 14px}";
+.key{display:inline-block;width:11px;height:11px;margin:0 4px 0 14px}p{margin:6px 0}";
 
 /// The whole report as one page. Its size is bounded by what a verdict keeps: some megabytes for a run of hours.
 pub fn html(verdict: &Verdict) -> String {
@@ -74,32 +73,25 @@
     picture(page, "Connections open at boxes", pictures::connections(findings));
     if !findings.bands.is_empty() {
         picture(page, "Processes", pictures::bands(findings));
-        legend(page);
     }
 }
 
 fn picture(page: &mut String, title: &str, picture: Picture) {
     let _ = write!(page, "<h2>{title}</h2>");
-    match picture {
-        Ok(svg) => page.push_str(&svg),
+    let drawn = match picture {
+        Ok(drawn) => drawn,
         Err(error) => {
             let _ = write!(page, "<p>could not be drawn: {}</p>", escaped(&error.to_string()));
+            return;
         }
-    }
-}
-
-fn legend(page: &mut String) {
+    };
     page.push_str("<p>");
-    for standing in [Standing::Up, Standing::Starting, Standing::Ending, Standing::Frozen, Standing::Down] {
-        let colour = pictures::colour(standing);
+    for (colour, name) in drawn.key {
         let (r, g, b) = (colour.0, colour.1, colour.2);
-        let _ = write!(
-            page,
-            "<span class=\"key\" style=\"background:rgb({r},{g},{b})\"></span>{}",
-            tables::standing(standing)
-        );
+        let _ = write!(page, "<span class=\"key\" style=\"background:rgb({r},{g},{b})\"></span>");
+        page.push_str(&escaped(&name));
     }
-    page.push_str("</p>");
+    let _ = write!(page, "</p>{}", drawn.svg);
 }
 
 fn write_table(page: &mut String, table: &Table) {
--- a/crates/lab/src/report/pictures.rs
+++ b/crates/lab/src/report/pictures.rs
@@ -1,6 +1,6 @@
 //! Pictures of a run, as SVG. Each is a function from findings to the text of one picture.
 
-use super::tables::mark;
+use super::tables::{mark, standing};
 use crate::judge::findings::{By, FaultFound, Findings, Group};
 use crate::judge::recovery::Full;
 use crate::judge::service::Second;
@@ -31,8 +31,15 @@
 /// The size of words in pictures.
 const WORDS: (&str, u32) = ("sans-serif", 12);
 
+/// A drawn picture.
+pub(super) struct Drawn {
+    pub svg: String,
+    /// What each colour stands for.
+    pub key: Vec<(RGBColor, String)>,
+}
+
 /// A picture, or why there is none.
-pub(super) type Picture = Result<String, Box<dyn Error>>;
+pub(super) type Picture = Result<Drawn, Box<dyn Error>>;
 
 type Area<'a> = DrawingArea<SVGBackend<'a>, Shift>;
 
@@ -85,12 +92,15 @@
 pub(super) fn latencies(findings: &Findings, share: &str) -> Picture {
     let us = |second: &Second| if share == "p50" { second.p50_us } else { second.p99_us };
     let lines: Vec<Line> = groups(findings, By::Class)
-        .map(|g| Line::of(&g.name, g.seconds.iter().map(|s| us(s).map(|us| (us as f64 / 1e3).max(0.01)))))
+        .map(|g| Line::of(&g.name, g.seconds.iter().map(|s| us(s).map(|us| (us as f64 / 1e3).max(1.0)))))
         .collect();
     let points = || lines.iter().flat_map(|line| &line.points).map(|point| point.1);
     let least = points().fold(f64::INFINITY, f64::min).min(1e6);
     let most = points().fold(0.0, f64::max).max(least);
-    draw(findings, &format!("{share}, ms"), (least / 1.5..most * 1.5).log_scale(), &lines)
+    // Whole powers of ten: between others the axis has hardly a number.
+    let power = |value: f64, round: fn(f64) -> f64| 10_f64.powf(round(value.log10()));
+    let (bottom, top) = (power(least, f64::floor), power(most * 1.01, f64::ceil));
+    draw(findings, &format!("{share}, ms"), (bottom..top).log_scale(), &lines)
 }
 
 /// Connections begun, and calls of the list service.
@@ -138,27 +148,17 @@
             .light_line_style(TRANSPARENT)
             .bold_line_style(RGBColor(225, 225, 225))
             .x_label_formatter(&|s| format!("{s:.0} s"))
+            .y_label_formatter(&|value| format!("{value:.0}"))
             .y_desc(what)
             .draw()?;
         for (line, colour) in lines.iter().take(MAX_LINES).zip(COLOURS) {
-            chart
-                .draw_series(LineSeries::new(line.points.iter().copied(), colour.stroke_width(2)))?
-                .label(line.name.clone())
-                .legend(move |(x, y)| PathElement::new([(x, y), (x + 14, y)], colour.stroke_width(2)));
-        }
-        if !lines.is_empty() {
-            chart
-                .configure_series_labels()
-                .label_font(WORDS)
-                .position(SeriesLabelPosition::LowerRight)
-                .background_style(WHITE.mix(0.8))
-                .draw()?;
+            chart.draw_series(LineSeries::new(line.points.iter().copied(), colour.stroke_width(2)))?;
         }
         let plot = chart.plotting_area().get_pixel_range();
         mark_faults(&area, &findings.faults, end, plot)?;
         area.present()?;
     }
-    Ok(svg)
+    Ok(Drawn { svg, key: COLOURS.into_iter().zip(lines.iter().map(|line| line.name.clone())).collect() })
 }
 
 type Pixels = (std::ops::Range<i32>, std::ops::Range<i32>);
@@ -187,7 +187,7 @@
 }
 
 /// The colour of what a process does.
-pub(super) fn colour(standing: Standing) -> RGBColor {
+fn colour(standing: Standing) -> RGBColor {
     match standing {
         Standing::Up => RGBColor(0, 158, 115),
         Standing::Starting => RGBColor(240, 228, 66),
@@ -212,7 +212,8 @@
         mark_faults(&area, &findings.faults, end, (across, down))?;
         area.present()?;
     }
-    Ok(svg)
+    let kinds = [Standing::Up, Standing::Starting, Standing::Ending, Standing::Frozen, Standing::Down];
+    Ok(Drawn { svg, key: kinds.map(|kind| (colour(kind), standing(kind).to_owned())).into() })
 }
 
 fn draw_band(
--- a/crates/lab/tests/judge/main.rs
+++ b/crates/lab/tests/judge/main.rs
@@ -2,6 +2,7 @@
 
 mod common;
 mod compare;
+mod figures;
 mod lies;
 mod recovery;
 mod report;
