--- a/crates/lab/src/clients/mod.rs
+++ b/crates/lab/src/clients/mod.rs
@@ -370,7 +370,8 @@
         let Some(proxy) = self.dealer.borrow_mut().deal(zone) else { return Err(()) };
         let line = Kept::open(self.start.proxies[proxy], deadline.into()).await.map_err(drop)?;
         let mean = self.start.experiment.load.requests_per_connection;
-        let left = Law::Even(mean * 0.5, mean * 1.5).draw(&mut self.dice.borrow_mut()).round().max(1.0) as u32;
+        let left =
+            Law::Even(mean * 0.5, mean * 1.5).draw(&mut self.dice.borrow_mut()).round().max(1.0) as u32;
         Ok(Rest { line, proxy, left })
     }
 }
--- a/crates/lab/src/clients/request.rs
+++ b/crates/lab/src/clients/request.rs
@@ -65,7 +65,8 @@
 pub fn render(experiment: &Experiment, wish: Wish, id: &str, left: Duration, repeat: bool) -> Vec<u8> {
     let class = &experiment.classes[wish.class];
     let (method, name, subject) = (method(class), &class.name, wish.subject);
-    let mut text = format!("{method} /{name}/{subject:016x} HTTP/1.1\r\nHost: lab\r\nX-Correlation-Id: {id}\r\n");
+    let mut text =
+        format!("{method} /{name}/{subject:016x} HTTP/1.1\r\nHost: lab\r\nX-Correlation-Id: {id}\r\n");
     let _ = write!(text, "X-Time-Left: {:.6}\r\n", left.as_secs_f64());
     if let Some(tenant) = wish.tenant.and_then(|t| experiment.tenants.get(t)) {
         let _ = write!(text, "X-Account: {}\r\n", tenant.name);
@@ -95,7 +96,9 @@
 
 /// How long a client waits before it comes again; none where it does not. It does where it was refused or nobody took
 /// its connection, whatever its class: it never ran. One whose connection broke does only where that does no harm.
-pub fn pause(load: &LoadPart, class: &ClassPart, nth: u8, end: TryEnd, answer: Option<&Message>) -> Option<Duration> {
+pub fn pause(
+    load: &LoadPart, class: &ClassPart, nth: u8, end: TryEnd, answer: Option<&Message>,
+) -> Option<Duration> {
     if nth >= load.retries.min(MAX_TRIES - 1) {
         return None;
     }
--- a/crates/lab/src/fleet/files.rs
+++ b/crates/lab/src/fleet/files.rs
@@ -49,7 +49,8 @@
     if absent("[[pool]]") {
         let mode = if experiment.list.push { "push" } else { "subscribe" };
         let at = own.list;
-        let _ = write!(text, "[[pool]]\nname = \"boxes\"\ndiscovery = \"{at}\"\ndiscovery_mode = \"{mode}\"\n\n");
+        let _ =
+            write!(text, "[[pool]]\nname = \"boxes\"\ndiscovery = \"{at}\"\ndiscovery_mode = \"{mode}\"\n\n");
     }
     let more = more.replace("@LIST@", &own.list.to_string());
     text + &more
--- a/crates/lab/src/fleet/place.rs
+++ b/crates/lab/src/fleet/place.rs
@@ -19,7 +19,8 @@
     /// From that one on, or those of a new run of this process. None is `127.0.0.1`.
     pub fn new(first: Option<Ipv4Addr>) -> Addresses {
         let run = RUNS.fetch_add(1, Ordering::Relaxed);
-        let mixed = std::process::id().wrapping_mul(2_654_435_761).wrapping_add(run.wrapping_mul(40_503)) >> 3;
+        let mixed =
+            std::process::id().wrapping_mul(2_654_435_761).wrapping_add(run.wrapping_mul(40_503)) >> 3;
         let own = Ipv4Addr::new(127, 64 + (mixed >> 8 & 0x3f) as u8, mixed as u8, 1);
         Addresses { first: first.unwrap_or(own).to_bits() }
     }
--- a/crates/lab/src/paths.rs
+++ b/crates/lab/src/paths.rs
@@ -71,7 +71,8 @@
         for proxy in 0..self.boxes.len() {
             let near = format!("p{proxy}");
             let ends = [near.as_str(), "list"];
-            let link = self.links.tcp(&format!("{near}-list"), ends, addresses.at(LINKS_AT), list.address(proxy));
+            let link =
+                self.links.tcp(&format!("{near}-list"), ends, addresses.at(LINKS_AT), list.address(proxy));
             self.lists.push(link?);
         }
         Ok(())
@@ -116,7 +117,9 @@
     ///
     /// # Errors
     /// A value out of its range.
-    pub fn set(&self, fault: &LinkFault, proxies: &[String], boxes: &[String], on: bool) -> Result<usize, FaultError> {
+    pub fn set(
+        &self, fault: &LinkFault, proxies: &[String], boxes: &[String], on: bool,
+    ) -> Result<usize, FaultError> {
         let near: Vec<&str> = if fault.front { vec!["front"] } else { names(proxies) };
         let mut far = if fault.front { names(proxies) } else { names(boxes) };
         if fault.list {
@@ -162,9 +165,15 @@
             let sum = |of: fn(&Tally) -> u64| -> u64 {
                 tallies.iter().zip(&before).map(|(now, before)| of(now) - of(before)).sum()
             };
-            let (passed_bytes, passed_while_cut) = (sum(|t| t.passed_bytes), sum(|t| t.passed_bytes_while_cut));
+            let (passed_bytes, passed_while_cut) =
+                (sum(|t| t.passed_bytes), sum(|t| t.passed_bytes_while_cut));
             if passed_bytes + passed_while_cut > 0 {
-                samples.push(Sample::LinkSecond { at_us, link: link.clone(), passed_bytes, passed_while_cut });
+                samples.push(Sample::LinkSecond {
+                    at_us,
+                    link: link.clone(),
+                    passed_bytes,
+                    passed_while_cut,
+                });
             }
         }
         self.before = now;
--- a/crates/lab/src/run/cpu.rs
+++ b/crates/lab/src/run/cpu.rs
@@ -32,7 +32,8 @@
         let now: BTreeMap<u32, u64> =
             pids.iter().filter_map(|pid| Some((*pid, taken_ms(&pid.to_string())?))).collect();
         let before = std::mem::replace(&mut self.fleet, now);
-        let grown = self.fleet.iter().map(|(pid, ms)| ms.saturating_sub(before.get(pid).copied().unwrap_or(0)));
+        let grown =
+            self.fleet.iter().map(|(pid, ms)| ms.saturating_sub(before.get(pid).copied().unwrap_or(0)));
         (own, grown.sum())
     }
 }
--- a/crates/lab/src/run/driver.rs
+++ b/crates/lab/src/run/driver.rs
@@ -364,7 +364,9 @@
                 }
                 Seen::Process(what) => {
                     match what {
-                        ProcessEvent::Killed | ProcessEvent::Exited { .. } => self.paths.refuse_proxy(proxy, true),
+                        ProcessEvent::Killed | ProcessEvent::Exited { .. } => {
+                            self.paths.refuse_proxy(proxy, true)
+                        }
                         ProcessEvent::Ready => self.paths.refuse_proxy(proxy, false),
                         _ => {}
                     }
@@ -402,7 +404,8 @@
         let most = Micros(self.experiment.load.late_most.as_micros() as u64);
         if late > most {
             let (late, most) = (late.secs() * 1e3, most.secs() * 1e3);
-            self.void.push(format!("the lab itself ran {late:.0} ms late in second {second}, over {most:.0} ms"));
+            self.void
+                .push(format!("the lab itself ran {late:.0} ms late in second {second}, over {most:.0} ms"));
         }
         let (ready, count) = (self.processes.ready(), self.experiment.fleet.proxies);
         let (tries, served, refused) = self.clients.as_ref().map_or((0, 0, 0), Clients::totals);
