--- a/crates/lab/src/experiment/mod.rs
+++ b/crates/lab/src/experiment/mod.rs
@@ -98,6 +98,12 @@
     pub queue: u32,
     /// A connection at rest is closed after so long.
     pub idle: Duration,
+    /// Work that a new connection brings, ms of a standard core.
+    pub handshake_ms: f64,
+    /// More requests than this in the mean over 2 s are a crowd.
+    pub crowded: Option<f64>,
+    /// In a crowd work takes so many times as long.
+    pub crowded_slower: f64,
     /// For so long one that drains still takes requests.
     pub grace: Duration,
 }
--- a/crates/lab/src/experiment/parts.rs
+++ b/crates/lab/src/experiment/parts.rs
@@ -49,6 +49,9 @@
         slots: table.whole_or("slots", (1, 100_000), 64) as u32,
         queue: table.whole_or("queue", (0, 100_000), 64) as u32,
         idle: table.time_or("idle", (0.1, 3600.0), 60.0),
+        handshake_ms: table.number_or("handshake_ms", (0.0, 60_000.0), 0.0),
+        crowded: table.number("crowded", (0.1, 100_000.0)),
+        crowded_slower: table.number_or("crowded_slower", (1.0, 100.0), 3.0),
         grace: table.time_or("grace", (0.0, 3600.0), 2.0),
     };
     table.end();
--- a/crates/lab/src/site.rs
+++ b/crates/lab/src/site.rs
@@ -3,7 +3,8 @@
 use crate::experiment::{BoxFault, Experiment, ListState};
 use shaletide_base::{Micros, Time};
 use shaletide_testkit::{
-    BoxHandle, BoxSpec, Clock, Entry, Fault, Fleet, FleetSpec, ListServer, ListService, Power, Service, View,
+    BoxHandle, BoxSpec, Clock, Crowd, Entry, Fault, Fleet, FleetSpec, ListServer, ListService, Power,
+    Service, View,
 };
 use std::collections::VecDeque;
 use std::io;
@@ -38,6 +39,8 @@
         queue: boxes.queue,
         grace: boxes.grace,
         idle: boxes.idle,
+        handshake_ms: boxes.handshake_ms,
+        crowd: boxes.crowded.map(|held| Crowd { held, slower: boxes.crowded_slower }),
         ..BoxSpec::new(&experiment.box_name(number), power(experiment))
     }
 }
--- a/crates/testkit/src/fleet/spec.rs
+++ b/crates/testkit/src/fleet/spec.rs
@@ -1,6 +1,6 @@
 //! What a fleet is made of.
 
-use crate::{Clock, Demand, Dice, Law, Power, MAX_RECORDS};
+use crate::{Clock, Crowd, Demand, Dice, Law, Power, MAX_RECORDS};
 use shaletide_base::Micros;
 use std::time::Duration;
 
@@ -29,6 +29,10 @@
     pub idle: Duration,
     /// Connections at a time; further ones are closed at once.
     pub max_connections: usize,
+    /// Work that a new connection brings, ms of a standard core; it takes a slot meanwhile. 0: none.
+    pub handshake_ms: f64,
+    /// What a crowd does to it; none: nothing.
+    pub crowd: Option<Crowd>,
 }
 
 impl BoxSpec {
@@ -46,6 +50,8 @@
             grace: Duration::from_secs(1),
             idle: Duration::from_secs(60),
             max_connections: 4096,
+            handshake_ms: 0.0,
+            crowd: None,
         }
     }
 }
--- a/crates/testkit/src/fleet/stand.rs
+++ b/crates/testkit/src/fleet/stand.rs
@@ -4,7 +4,7 @@
 use super::Shared;
 use crate::fault::{own_body, Behaviour};
 use crate::pacer::Pacer;
-use crate::{Admitted, Boot, Dice, Ended, Fault, Message, Record, Repeat, Station, Step};
+use crate::{Admitted, Boot, Crowding, Demand, Dice, Ended, Fault, Message, Record, Repeat, Station, Step};
 use shaletide_base::{Micros, Time};
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
@@ -36,6 +36,10 @@
     classes: BTreeMap<String, Arc<str>>,
     next_ticket: u64,
     dice: Dice,
+    /// So many times as long work takes, as the box was told.
+    slowed: f64,
+    crowding: Option<Crowding>,
+    next_look: Time,
 }
 
 /// A box.
@@ -70,6 +74,9 @@
             classes: BTreeMap::new(),
             next_ticket: 0,
             dice: Dice::of(fleet.seed, &spec.name),
+            slowed: 1.0,
+            crowding: spec.crowd.map(Crowding::new),
+            next_look: fleet.clock.now(),
         };
         Stand {
             spec,
@@ -146,6 +153,7 @@
     pub fn pump(&self) {
         let now = self.now();
         let state = &mut *self.state.borrow_mut();
+        state.look(now);
         for step in state.station.advance(now) {
             if let Step::Served(done) = step {
                 if let Some(waiter) = state.waiters.remove(&done.id) {
@@ -159,7 +167,7 @@
     pub async fn run(self: Rc<Self>, pacer: Rc<Pacer>) {
         loop {
             self.pump();
-            let next = self.state.borrow().station.next(self.now());
+            let next = self.state.borrow().next(self.now());
             pacer.set(self.place, next.map(|at| self.fleet.clock.instant(at)));
             self.changed.notified().await;
         }
@@ -171,9 +179,9 @@
         let now = self.now();
         let state = &mut *self.state.borrow_mut();
         match &fault {
-            Fault::Slow(factor) => state.station.slow(now, *factor),
+            Fault::Slow(factor) => state.slow(now, *factor),
             Fault::Cleared => {
-                state.station.slow(now, 1.0);
+                state.slow(now, 1.0);
                 state.draining = None;
             }
             _ => {}
@@ -213,6 +221,8 @@
         state.station = Station::new(self.spec.power, Some(now), self.spec.slots, self.spec.queue);
         state.behaviour = Behaviour::default();
         state.draining = None;
+        state.slowed = 1.0;
+        state.crowding = self.spec.crowd.map(Crowding::new);
         state.boot += 1;
         state.waiters.clear();
         self.changed.notify_one();
@@ -233,10 +243,49 @@
             stats.connections += u64::from(up);
             stats.open = open as u64;
         });
+        if up && self.spec.handshake_ms > 0.0 {
+            self.shake_hands();
+        }
+    }
+
+    /// The work that a new connection brings. Where the box is full there is no room for it.
+    fn shake_hands(&self) {
+        self.pump();
+        let now = self.now();
+        let state = &mut *self.state.borrow_mut();
+        let ticket = state.next_ticket;
+        state.next_ticket += 1;
+        let demand = Demand { work_ms: self.spec.handshake_ms, io: Micros(0) };
+        let _ = state.station.arrive(now, ticket, demand);
+        self.changed.notify_one();
     }
 }
 
 impl State {
+    /// From now on so many times slower, and more where it is crowded.
+    fn slow(&mut self, now: Time, factor: f64) {
+        self.slowed = factor;
+        self.station.slow(now, factor * self.crowding.as_ref().map_or(1.0, Crowding::slower));
+    }
+
+    /// Looks at how crowded it is, as often as has to be.
+    fn look(&mut self, now: Time) {
+        while self.crowding.is_some() && self.next_look <= now {
+            let at = self.next_look;
+            self.next_look = at + Crowding::LOOK;
+            let held = self.station.in_service() + self.station.queued();
+            if self.crowding.as_mut().is_some_and(|c| c.look(at, held)) {
+                self.slow(now, self.slowed);
+            }
+        }
+    }
+
+    /// When something happens next, if nothing comes or goes.
+    fn next(&self, now: Time) -> Option<Time> {
+        let look = self.crowding.as_ref().map(|_| self.next_look.max(now));
+        [self.station.next(now), look].into_iter().flatten().min()
+    }
+
     /// What is decided before slots are looked at.
     fn decide(&mut self, spec: &BoxSpec, request: &Message, now: Time) -> Option<Decision> {
         let grace = Micros(spec.grace.as_micros() as u64);
--- a/crates/testkit/tests/fleet.rs
+++ b/crates/testkit/tests/fleet.rs
@@ -87,6 +87,27 @@
     assert_eq!(ends(&fleet), expected);
 }
 
+#[test]
+fn a_new_connection_is_work_that_takes_a_slot() {
+    let spec = BoxSpec { slots: 1, queue: 0, handshake_ms: 60_000.0, ..quick() };
+    let (_fleet, handle) = working(spec, 1.0);
+    let mut client = Client::connect(handle.address);
+    assert!(handle.wait(|stats| stats.connections == 1));
+    assert_eq!(client.ask("GET /read/k HTTP/1.1\r\n\r\n").status(), 503);
+}
+
+#[test]
+fn a_crowd_makes_a_box_slow_for_those_who_come_with_it() {
+    let crowd = Some(Crowd { held: 3.0, slower: 1e6 });
+    let (fleet, handle) = working(BoxSpec { crowd, ..quick() }, 1_000.0);
+    let mut clients: Vec<Client> = (0..8).map(|_| Client::connect(handle.address)).collect();
+    clients.iter_mut().for_each(|client| client.send(&pay(3.0)));
+    assert!(handle.wait(|stats| stats.requests == 8));
+    // Without the crowd all would be served after 4 s.
+    std::thread::sleep(Duration::from_millis(4_500));
+    assert!(ends(&fleet).iter().all(Option::is_none));
+}
+
 #[test]
 fn who_closes_takes_its_work_along() {
     let (fleet, handle) = working(BoxSpec { slots: 1, ..quick() }, 60_000.0);
