--- a/crates/lab/src/clients/mod.rs
+++ b/crates/lab/src/clients/mod.rs
@@ -31,8 +31,6 @@
 pub struct Heard {
     /// The tries that are over.
     pub tries: Vec<Sample>,
-    /// What the front saw: when, which proxy, whether it is in.
-    pub front: Vec<(Time, usize, bool)>,
     /// Why the run is void for the clients' sake.
     pub void: Option<String>,
     /// Tries, those served and those refused, counted apart from `tries`.
@@ -261,12 +259,7 @@
             };
             let ready = ready.await.unwrap_or(false);
             let now = self.start.clock.now();
-            if self.dealer.borrow_mut().checked(now, proxy, ready) {
-                let mut heard = self.controls.heard();
-                if heard.front.len() < 100_000 {
-                    heard.front.push((now, proxy, ready));
-                }
-            }
+            self.dealer.borrow_mut().checked(now, proxy, ready);
             tokio::time::sleep_until(until).await;
         }
     }
--- a/crates/lab/src/fleet/mod.rs
+++ b/crates/lab/src/fleet/mod.rs
@@ -121,14 +121,14 @@
         self.proxies[proxy].file = text;
     }
 
-    /// Starts one that is down; one that is up is started when it has ended.
+    /// Starts one that is down; one that was told to end is started when it has. Nothing happens to one that is up.
     ///
     /// # Errors
     /// Its file cannot be written, or there is no process to be had.
     pub fn start(&mut self, proxy: usize, fresh: bool) -> io::Result<()> {
         let one = &mut self.proxies[proxy];
-        if one.process.is_some() {
-            one.wanted = Some(Start { fresh });
+        if let Some(process) = &one.process {
+            one.wanted = process.ending.then_some(Start { fresh });
             return Ok(());
         }
         one.wanted = None;
@@ -151,16 +151,26 @@
         Ok(())
     }
 
-    /// Signals one; nothing where it is down.
+    /// Signals one; nothing where it is down. One that is killed or asked to end stays down until it is started.
     pub fn signal(&mut self, proxy: usize, signal: Signal) {
+        let one = &mut self.proxies[proxy];
+        if matches!(signal, Signal::Kill | Signal::Term) {
+            one.wanted = None;
+        }
+        self.send(proxy, signal);
+    }
+
+    fn send(&mut self, proxy: usize, signal: Signal) {
         let Some(process) = &mut self.proxies[proxy].process else { return };
         let event = match signal {
             Signal::Kill => {
                 process.order("KILL");
+                process.ending = true;
                 ProcessEvent::Killed
             }
             Signal::Term => {
                 process.order("TERM");
+                process.ending = true;
                 process.termed.get_or_insert_with(Instant::now);
                 ProcessEvent::Termed
             }
@@ -210,7 +220,7 @@
                 if let Some(process) = &mut one.process {
                     process.termed = None;
                 }
-                self.signal(proxy, Signal::Kill);
+                self.send(proxy, Signal::Kill);
             }
             let one = &self.proxies[proxy];
             if let (None, Some(start)) = (&one.process, one.wanted) {
--- a/crates/lab/src/fleet/process.rs
+++ b/crates/lab/src/fleet/process.rs
@@ -42,6 +42,8 @@
     pub life: u32,
     /// When it was asked to end.
     pub termed: Option<Instant>,
+    /// It was told to end in any way.
+    pub ending: bool,
     pub stopped: bool,
 }
 
@@ -71,7 +73,7 @@
         if let Some(err) = guard.stderr.take() {
             listen(err, MAX_LOG_LINES, (proxy, life), heard.clone(), |line| Some(Word::Log(line)), None);
         }
-        Ok(Process { guard, orders, pid: None, life, termed: None, stopped: false })
+        Ok(Process { guard, orders, pid: None, life, termed: None, ending: false, stopped: false })
     }
 
     /// An order to the guard: the signal's name without `SIG`. It arrives within a millisecond or so.
--- a/crates/lab/src/run/driver.rs
+++ b/crates/lab/src/run/driver.rs
@@ -35,11 +35,22 @@
         let number = RUNS.fetch_add(1, Ordering::Relaxed);
         let own = || std::env::temp_dir().join(format!("shaletide-lab-{}-{number}", std::process::id()));
         let path = out.map_or_else(own, Path::to_path_buf);
-        std::fs::create_dir_all(&path).map_err(|e| RunError::Folder(path.clone(), e))?;
+        let made = std::fs::create_dir_all(&path).and_then(|()| is_ours(&path));
+        made.map_err(|e| RunError::Folder(path.clone(), e))?;
         Ok(Root { path, keep: out.is_some() })
     }
 }
 
+/// What stands in a folder is removed only where an earlier run left it.
+fn is_ours(path: &Path) -> std::io::Result<()> {
+    let empty = std::fs::read_dir(path)?.next().is_none();
+    if empty || path.join("samples.jsonl").is_file() {
+        return Ok(());
+    }
+    let text = "it holds something, and not an earlier run: name an empty or a new folder";
+    Err(std::io::Error::new(std::io::ErrorKind::AlreadyExists, text))
+}
+
 impl Drop for Root {
     fn drop(&mut self) {
         if !self.keep {
--- a/crates/testkit/tests/listing.rs
+++ b/crates/testkit/tests/listing.rs
@@ -1,6 +1,7 @@
 //! Discovery that works, asked over sockets.
 
 use shaletide_testkit::*;
+use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
 fn server() -> ListServer {
@@ -20,6 +21,19 @@
     String::from_utf8(answer.body).unwrap()
 }
 
+#[test]
+fn each_watcher_is_told_its_own_addresses_and_calls_are_counted() {
+    let address = |port: u16| SocketAddr::from(([127, 0, 0, 1], port));
+    let entries = ["a", "b"].map(|name| Entry::new(name, address(9), "east", "big", 1)).to_vec();
+    let views = vec![View::from([("a".into(), address(10))]), View::new()];
+    let server = ListServer::with_views(Clock::start(), &["n0", "n1"], entries, views).expect("a discovery");
+    let said = |watcher| text(Client::connect(server.address(watcher)).ask(WHOLE));
+    let (first, second) = (said(0), said(1));
+    assert!(first.contains("127.0.0.1:10") && first.contains("127.0.0.1:9"), "{first}");
+    assert!(!second.contains("127.0.0.1:10"), "{second}");
+    assert_eq!(server.calls(), 2);
+}
+
 #[test]
 fn a_watch_waits_for_a_change_and_the_telling_is_recorded() {
     let server = server();
