--- a/crates/lab/src/run/driver.rs
+++ b/crates/lab/src/run/driver.rs
@@ -1,20 +1,19 @@
 //! The timeline carried out, on the caller's thread: it waits for moments, tells the parts, and takes samples.
 
 use super::cpu::Cpu;
+use super::setup::{Ground, Root};
 use super::{collect, Options, RunError};
 use crate::clients::{self, Clients};
 use crate::experiment::{Experiment, What};
-use crate::fleet::{operator, runs, Addresses, Door, Own, Processes, Seen, Settings};
-use crate::paths::{needed, Paths};
+use crate::fleet::{operator, runs, Own, Processes, Seen};
+use crate::paths::Paths;
 use crate::samples::{ProcessEvent, Sample, Touched, MAX_SAMPLES};
-use crate::site::{box_count, start_boxes, Site};
+use crate::site::{box_count, Site};
 use crate::timeline::{ends, plan, Action, Due};
 use shaletide_base::{Micros, Time};
 use shaletide_testkit::{BoxStats, Clock};
 use std::collections::VecDeque;
-use std::net::SocketAddr;
-use std::path::{Path, PathBuf};
-use std::sync::atomic::{AtomicU32, Ordering};
+use std::sync::atomic::Ordering;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -23,42 +22,6 @@
 /// So many lines of a process's log are shown where it never was ready.
 const LAST_LINES: usize = 5;
 
-/// A folder that is removed with all in it, unless it was asked for by name.
-struct Root {
-    path: PathBuf,
-    keep: bool,
-}
-
-impl Root {
-    fn new(out: Option<&Path>) -> Result<Root, RunError> {
-        static RUNS: AtomicU32 = AtomicU32::new(0);
-        let number = RUNS.fetch_add(1, Ordering::Relaxed);
-        let own = || std::env::temp_dir().join(format!("shaletide-lab-{}-{number}", std::process::id()));
-        let path = out.map_or_else(own, Path::to_path_buf);
-        let made = std::fs::create_dir_all(&path).and_then(|()| is_ours(&path));
-        made.map_err(|e| RunError::Folder(path.clone(), e))?;
-        Ok(Root { path, keep: out.is_some() })
-    }
-}
-
-/// What stands in a folder is removed only where an earlier run left it.
-fn is_ours(path: &Path) -> std::io::Result<()> {
-    let empty = std::fs::read_dir(path)?.next().is_none();
-    if empty || path.join("samples.jsonl").is_file() {
-        return Ok(());
-    }
-    let text = "it holds something, and not an earlier run: name an empty or a new folder";
-    Err(std::io::Error::new(std::io::ErrorKind::AlreadyExists, text))
-}
-
-impl Drop for Root {
-    fn drop(&mut self) {
-        if !self.keep {
-            let _ = std::fs::remove_dir_all(&self.path);
-        }
-    }
-}
-
 /// A run at work. Parts end in this order: those that ask, the processes, what these lead to.
 struct Driver<'a> {
     experiment: Arc<Experiment>,
@@ -94,52 +57,10 @@
     driver.finish()
 }
 
-/// Lets this process have as many descriptors as it may, and says whether that is enough.
-fn descriptors(experiment: &Experiment) -> Result<(), RunError> {
-    use rustix::process::{getrlimit, setrlimit, Resource, Rlimit};
-    let boxes = box_count(experiment);
-    let clients = experiment.load.connections.min((experiment.load.requests_per_s * 2.0) as usize);
-    let needed = (2 * needed(experiment, boxes) + 2 * boxes + 6 * experiment.fleet.proxies + 256) as u64
-        + clients as u64
-        + 4 * (experiment.load.requests_per_s as u64).min(4_000);
-    let limit = getrlimit(Resource::Nofile);
-    let have = limit.maximum.unwrap_or(u64::MAX);
-    let _ = setrlimit(Resource::Nofile, Rlimit { current: limit.maximum, maximum: limit.maximum });
-    if have < needed {
-        return Err(RunError::Descriptors { needed, have });
-    }
-    Ok(())
-}
-
 impl<'a> Driver<'a> {
     fn new(experiment: &Experiment, options: &'a Options) -> Result<Driver<'a>, RunError> {
-        descriptors(experiment)?;
-        let root = Root::new(options.out.as_deref())?;
         let (seed, clock) = (options.seed.unwrap_or(experiment.seed), Clock::start());
-        let (addresses, count) = (Addresses::new(experiment.fleet.first_address), experiment.fleet.proxies);
-        let mut doors = Vec::new();
-        for p in 0..count {
-            let door = Door::new(addresses.at(p), experiment.fleet.port);
-            doors.push(door.map_err(|e| RunError::Address(p, e))?);
-        }
-        let fleet = start_boxes(experiment, seed, clock).map_err(RunError::Site)?;
-        let mut paths = Paths::lay(experiment, clock, seed, &addresses, &fleet).map_err(RunError::Site)?;
-        let views = paths.views(&fleet);
-        let site = Site::new(experiment, fleet, views).map_err(RunError::Site)?;
-        paths.lead_to_list(&addresses, &site.list).map_err(RunError::Site)?;
-        if experiment.cuts_front() {
-            let doors: Vec<SocketAddr> = doors.iter().map(|d| d.address).collect();
-            paths.lead_to_proxies(&addresses, &doors).map_err(RunError::Site)?;
-        }
-        let settings = Settings {
-            lab: options.lab.clone(),
-            program: options.program.canonicalize().unwrap_or_else(|_| options.program.clone()),
-            descriptors: experiment.fleet.descriptors,
-            kill_after: experiment.fleet.kill_after,
-        };
-        let folder = |e| RunError::Folder(root.path.clone(), e);
-        let processes = Processes::new(settings, doors, &root.path).map_err(folder)?;
-        let samples = collect::head(experiment, seed, &options.command);
+        let Ground { processes, paths, site, root } = Ground::lay(experiment, options, seed, clock)?;
         let mut driver = Driver {
             experiment: Arc::new(experiment.clone()),
             options,
@@ -151,16 +72,19 @@
             processes,
             paths,
             site,
-            samples,
+            samples: collect::head(experiment, seed, &options.command),
             cpu: Cpu::default(),
             before: Vec::new(),
             calls: 0,
             late: Micros(0),
-            last_lines: vec![VecDeque::new(); count],
+            last_lines: vec![VecDeque::new(); experiment.fleet.proxies],
             void: Vec::new(),
             _root: root,
         };
-        (0..count).for_each(|p| driver.set_file(p, &experiment.fleet.more));
+        for proxy in 0..experiment.fleet.proxies {
+            let text = driver.file(proxy, &experiment.fleet.more);
+            driver.processes.set_file(proxy, text);
+        }
         Ok(driver)
     }
 
@@ -170,11 +94,6 @@
         operator(&self.experiment, own, more)
     }
 
-    fn set_file(&mut self, proxy: usize, more: &str) {
-        let text = self.file(proxy, more);
-        self.processes.set_file(proxy, text);
-    }
-
     fn say(&self, text: &str) {
         if !self.options.quiet {
             eprintln!("{text}");
--- a/crates/lab/src/run/mod.rs
+++ b/crates/lab/src/run/mod.rs
@@ -4,6 +4,7 @@
 mod cpu;
 mod driver;
 mod error;
+mod setup;
 
 pub use error::RunError;
 
--- /dev/null
+++ b/crates/lab/src/run/setup.rs
@@ -0,0 +1,110 @@
+//! What a run stands on, before anything is started: folder, addresses, boxes, links, list service.
+
+use super::{Options, RunError};
+use crate::experiment::Experiment;
+use crate::fleet::{Addresses, Door, Processes, Settings};
+use crate::paths::{needed, Paths};
+use crate::site::{box_count, start_boxes, Site};
+use shaletide_testkit::Clock;
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::sync::atomic::{AtomicU32, Ordering};
+
+/// A folder that is removed with all in it, unless it was asked for by name.
+pub struct Root {
+    pub path: PathBuf,
+    keep: bool,
+}
+
+impl Root {
+    fn new(out: Option<&Path>) -> Result<Root, RunError> {
+        static RUNS: AtomicU32 = AtomicU32::new(0);
+        let number = RUNS.fetch_add(1, Ordering::Relaxed);
+        let own = || std::env::temp_dir().join(format!("shaletide-lab-{}-{number}", std::process::id()));
+        let path = out.map_or_else(own, Path::to_path_buf);
+        let made = std::fs::create_dir_all(&path).and_then(|()| is_ours(&path));
+        made.map_err(|e| RunError::Folder(path.clone(), e))?;
+        Ok(Root { path, keep: out.is_some() })
+    }
+}
+
+/// What stands in a folder is removed only where an earlier run left it.
+fn is_ours(path: &Path) -> std::io::Result<()> {
+    let empty = std::fs::read_dir(path)?.next().is_none();
+    if empty || path.join("samples.jsonl").is_file() {
+        return Ok(());
+    }
+    let text = "it holds something, and not an earlier run: name an empty or a new folder";
+    Err(std::io::Error::new(std::io::ErrorKind::AlreadyExists, text))
+}
+
+impl Drop for Root {
+    fn drop(&mut self) {
+        if !self.keep {
+            let _ = std::fs::remove_dir_all(&self.path);
+        }
+    }
+}
+
+/// All that stands before the proxies are started.
+pub struct Ground {
+    pub processes: Processes,
+    pub paths: Paths,
+    pub site: Site,
+    pub root: Root,
+}
+
+impl Ground {
+    /// Boxes and list service run when this returns, and no process does.
+    ///
+    /// # Errors
+    /// What could not be had; nothing is left of the rest.
+    pub fn lay(
+        experiment: &Experiment, options: &Options, seed: u64, clock: Clock,
+    ) -> Result<Ground, RunError> {
+        descriptors(experiment)?;
+        let root = Root::new(options.out.as_deref())?;
+        let addresses = Addresses::new(experiment.fleet.first_address);
+        let doors = doors(experiment, &addresses)?;
+        let fleet = start_boxes(experiment, seed, clock).map_err(RunError::Site)?;
+        let mut paths = Paths::lay(experiment, clock, seed, &addresses, &fleet).map_err(RunError::Site)?;
+        let views = paths.views(&fleet);
+        let site = Site::new(experiment, fleet, views).map_err(RunError::Site)?;
+        paths.lead_to_list(&addresses, &site.list).map_err(RunError::Site)?;
+        if experiment.cuts_front() {
+            let doors: Vec<SocketAddr> = doors.iter().map(|d| d.address).collect();
+            paths.lead_to_proxies(&addresses, &doors).map_err(RunError::Site)?;
+        }
+        let settings = Settings {
+            lab: options.lab.clone(),
+            program: options.program.canonicalize().unwrap_or_else(|_| options.program.clone()),
+            descriptors: experiment.fleet.descriptors,
+            kill_after: experiment.fleet.kill_after,
+        };
+        let folder = |e| RunError::Folder(root.path.clone(), e);
+        let processes = Processes::new(settings, doors, &root.path).map_err(folder)?;
+        Ok(Ground { processes, paths, site, root })
+    }
+}
+
+fn doors(experiment: &Experiment, addresses: &Addresses) -> Result<Vec<Door>, RunError> {
+    let door = |p| Door::new(addresses.at(p), experiment.fleet.port).map_err(|e| RunError::Address(p, e));
+    (0..experiment.fleet.proxies).map(door).collect()
+}
+
+/// Lets this process have as many descriptors as it may, and says whether that is enough.
+fn descriptors(experiment: &Experiment) -> Result<(), RunError> {
+    use rustix::process::{getrlimit, setrlimit, Resource, Rlimit};
+    let boxes = box_count(experiment);
+    let clients = experiment.load.connections.min((experiment.load.requests_per_s * 2.0) as usize);
+    let needed = (2 * needed(experiment, boxes) + 2 * boxes + 6 * experiment.fleet.proxies + 256) as u64
+        + clients as u64
+        + 4 * (experiment.load.requests_per_s as u64).min(4_000);
+    let limit = getrlimit(Resource::Nofile);
+    let have = limit.maximum.unwrap_or(u64::MAX);
+    let _ = setrlimit(Resource::Nofile, Rlimit { current: limit.maximum, maximum: limit.maximum });
+    if have < needed {
+        return Err(RunError::Descriptors { needed, have });
+    }
+    Ok(())
+}
