Links: a reset cut refuses from the moment that it is set

The measurement in an optimised build met 0 of 100 attempts refused: the link's thread closed its listener only when it ran next, up to 8 ms later on a loaded machine.

--- a/crates/lab/src/links/core.rs
+++ b/crates/lab/src/links/core.rs
@@ -1,11 +1,14 @@
 //! What the handles, the threads and the tasks of one link share: both directions and the news of a change.
 
-use super::fault::{Direction, Fault, FaultError};
+use super::fault::{Cut, Direction, Fault, FaultError};
 use super::gate::Gate;
 use super::line::{Line, Tally};
 use shaletide_base::Time;
 use shaletide_testkit::{Clock, Dice};
-use std::sync::{Mutex, MutexGuard, PoisonError};
+use socket2::SockRef;
+use std::net::Shutdown;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError, Weak};
+use tokio::net::TcpListener;
 use tokio::sync::watch;
 
 /// One way through a link.
@@ -43,13 +46,15 @@
     seed: u64,
     lines: Mutex<[Line; 2]>,
     changes: watch::Sender<()>,
+    listener: Mutex<Weak<TcpListener>>,
 }
 
 impl Core {
     pub fn new(clock: Clock, seed: u64, name: &str, ends: [&str; 2]) -> Core {
         let lines = Mutex::new([Line::default(), Line::default()]);
         let ends = ends.map(str::to_owned);
-        Core { clock, name: name.to_owned(), ends, seed, lines, changes: watch::Sender::new(()) }
+        let (name, changes) = (name.to_owned(), watch::Sender::new(()));
+        Core { clock, name, ends, seed, lines, changes, listener: Mutex::default() }
     }
 
     /// Both directions. A shell writes while it holds them, so that a fault once set is in force for each write.
@@ -73,10 +78,27 @@
             lines[*way as usize].set(now, fault);
         }
         drop(lines);
+        if fault.cut == Cut::Reset && !ways.is_empty() {
+            self.stop_listening();
+        }
         self.changed();
         Ok(())
     }
 
+    /// Where new connections come in, if anywhere: for [`Core::stop_listening`].
+    pub fn listens_at(&self, listener: &Arc<TcpListener>) {
+        *self.listener.lock().unwrap_or_else(PoisonError::into_inner) = Arc::downgrade(listener);
+    }
+
+    /// From here on the kernel refuses, without a wait for the link's own thread.
+    pub fn stop_listening(&self) {
+        let listener = self.listener.lock().unwrap_or_else(PoisonError::into_inner).upgrade();
+        if let Some(listener) = listener {
+            // It may have stopped already.
+            let _ = SockRef::from(&*listener).shutdown(Shutdown::Both);
+        }
+    }
+
     /// Wakes those who follow [`Core::changes`].
     pub fn changed(&self) {
         self.changes.send_replace(());
--- a/crates/lab/src/links/link.rs
+++ b/crates/lab/src/links/link.rs
@@ -94,9 +94,12 @@
 
     /// TCP: whether new connections are refused, as by a host that runs with nobody listening; open ones go on. For
     /// a target that is down: a link that took the connection and reset it would look like a request that may
-    /// have run. Takes effect at once for those who connect later, within a millisecond or so.
+    /// have run. When it returns, attempts are refused; when that ends, they are again taken a moment later.
     pub fn refuse(&self, refuse: bool) {
         self.shared.refusing.store(refuse, Relaxed);
+        if refuse {
+            self.shared.core.stop_listening();
+        }
         self.shared.core.changed();
     }
 
--- a/crates/lab/src/links/mod.rs
+++ b/crates/lab/src/links/mod.rs
@@ -127,6 +127,7 @@
         let place = tcp::Place::new(listen)?;
         let (address, first) = (place.address(), place.listen()?);
         let shared = Arc::new(Shared::new(self.core(name, ends), target));
+        shared.core.listens_at(&first);
         let host = tcp::Host::new(shared.clone(), place, self.room.clone());
         self.enlist(&shared);
         let task = worker.handle().spawn(host.run(first)).abort_handle();
--- a/crates/lab/src/links/tcp.rs
+++ b/crates/lab/src/links/tcp.rs
@@ -56,13 +56,18 @@
         self.address
     }
 
-    pub fn listen(&self) -> io::Result<TcpListener> {
+    pub fn listen(&self) -> io::Result<Arc<TcpListener>> {
         let socket = bound(self.address)?;
         socket.listen(BACKLOG)?;
-        TcpListener::from_std(StdListener::from(socket))
+        TcpListener::from_std(StdListener::from(socket)).map(Arc::new)
     }
 }
 
+/// Whether nobody stopped it, as a cut with a reset does.
+fn listens(listener: &Arc<TcpListener>) -> bool {
+    SockRef::from(&**listener).is_listener().unwrap_or(false)
+}
+
 fn bound(address: SocketAddr) -> io::Result<Socket> {
     let socket = Socket::new(Domain::for_address(address), Type::STREAM, None)?;
     // The guard and the listener share the address; with nobody listening the kernel refuses.
@@ -123,7 +128,7 @@
     }
 
     /// Listens as the faults say. The first listener is made by the caller, so that the link is there at once.
-    pub async fn run(mut self, first: TcpListener) {
+    pub async fn run(mut self, first: Arc<TcpListener>) {
         let mut listener = Some(first);
         let mut changes = self.shared.core.changes();
         loop {
@@ -134,10 +139,11 @@
                 let _ = changes.changed().await;
                 continue;
             }
-            let Ok(open) = listener.take().map_or_else(|| self.place.listen(), Ok) else {
+            let Ok(open) = listener.take().filter(listens).map_or_else(|| self.place.listen(), Ok) else {
                 tokio::time::sleep(RELISTEN).await;
                 continue;
             };
+            self.shared.core.listens_at(&open);
             if door == Door::Silent {
                 self.stay_silent(&open, &mut changes).await;
             } else {
--- a/crates/lab/tests/links/main.rs
+++ b/crates/lab/tests/links/main.rs
@@ -54,7 +54,10 @@
 #[test]
 fn round_trips_are_measured_by_turns_and_none_takes_no_time() {
     let added = shaletide_lab::links::measure::added(100).unwrap();
-    assert_eq!(added.iter().map(|line| line.kind).collect::<Vec<_>>(), ["TCP, clean link", "UDP, clean link"]);
+    assert_eq!(
+        added.iter().map(|line| line.kind).collect::<Vec<_>>(),
+        ["TCP, clean link", "UDP, clean link"]
+    );
     for line in added {
         assert!(line.direct.p50_us > 0.0 && line.link.p50_us > 0.0, "{line:?}");
         assert!(line.link.p99_us >= line.link.p50_us, "{line:?}");
--- a/crates/lab/tests/links/streams.rs
+++ b/crates/lab/tests/links/streams.rs
@@ -76,9 +76,10 @@
     link.set(Direction::Forth, Fault::cut(Cut::Reset)).unwrap();
     assert_eq!(client.read(&mut [0]).unwrap_err().kind(), ErrorKind::ConnectionReset);
     assert_eq!(server.read(&mut [0]).unwrap_err().kind(), ErrorKind::ConnectionReset);
-    until("refused", || {
-        TcpStream::connect(link.address()).is_err_and(|e| e.kind() == ErrorKind::ConnectionRefused)
-    });
+    for _ in 0..100 {
+        let attempt = TcpStream::connect(link.address());
+        assert!(attempt.is_err_and(|e| e.kind() == ErrorKind::ConnectionRefused));
+    }
     link.set(Direction::Forth, Fault::default()).unwrap();
     until("taken again", || TcpStream::connect(link.address()).is_ok());
 }
@@ -89,9 +90,10 @@
     let link = links.tcp("web", ["client", "box"], HERE, target).unwrap();
     let (mut client, mut server) = connect(link.address(), &listener);
     link.refuse(true);
-    until("refused", || {
-        TcpStream::connect(link.address()).is_err_and(|e| e.kind() == ErrorKind::ConnectionRefused)
-    });
+    for _ in 0..100 {
+        let attempt = TcpStream::connect(link.address());
+        assert!(attempt.is_err_and(|e| e.kind() == ErrorKind::ConnectionRefused));
+    }
     client.write_all(b"x").unwrap();
     assert_eq!(read(&mut server, 1), b"x");
     link.refuse(false);
