--- a/crates/lab/src/links/core.rs
+++ b/crates/lab/src/links/core.rs
@@ -18,6 +18,15 @@
     Back = 1,
 }
 
+impl Way {
+    pub fn reversed(self) -> Way {
+        match self {
+            Way::Forth => Way::Back,
+            Way::Back => Way::Forth,
+        }
+    }
+}
+
 impl Direction {
     pub(super) fn ways(self) -> &'static [Way] {
         match self {
--- a/crates/lab/src/links/pump.rs
+++ b/crates/lab/src/links/pump.rs
@@ -11,7 +11,12 @@
 
 /// The connection is to be reset at both ends.
 #[derive(Debug, PartialEq, Eq)]
-pub(super) struct Reset;
+pub(super) struct Reset {
+    /// Where the news has still to go through: a receiver that is gone is no news before a cut there heals.
+    pub news_over: Option<Way>,
+}
+
+const RESET: Reset = Reset { news_over: None };
 
 enum Flushed {
     /// The stream's end was written: this direction is done.
@@ -68,21 +73,21 @@
 fn flush(flow: &mut Flow<'_>, to: &TcpStream, resets: u64) -> Result<Flushed, Reset> {
     let mut lines = flow.core.lines();
     if lines.iter().map(|line| line.resets()).sum::<u64>() != resets {
-        return Err(Reset);
+        return Err(RESET);
     }
     let line = &mut lines[flow.way as usize];
     let now = flow.core.now();
     while let Some(leaves) = flow.gate.take(now, line) {
         let mut bytes = match leaves {
             Leaves::Bytes(bytes) => bytes,
-            Leaves::End(End::Reset) => return Err(Reset),
+            Leaves::End(End::Reset) => return Err(RESET),
             Leaves::End(End::Finished) => {
                 // A receiver that is gone already needs no end.
                 let _ = SockRef::from(to).shutdown(Shutdown::Write);
                 return Ok(Flushed::Ended);
             }
         };
-        let wrote = write(to, &bytes)?;
+        let wrote = write(to, &bytes).map_err(|_| Reset { news_over: Some(flow.way.reversed()) })?;
         line.wrote(wrote, wrote == bytes.len());
         if wrote < bytes.len() {
             flow.gate.put_back(line, bytes.split_off(wrote));
@@ -92,11 +97,10 @@
     Ok(Flushed::Waits(flow.gate.due(line)))
 }
 
-fn write(to: &TcpStream, bytes: &[u8]) -> Result<usize, Reset> {
+fn write(to: &TcpStream, bytes: &[u8]) -> io::Result<usize> {
     match to.try_write(bytes) {
-        Ok(wrote) => Ok(wrote),
         Err(e) if e.kind() == WouldBlock => Ok(0),
-        Err(_) => Err(Reset),
+        wrote => wrote,
     }
 }
 
--- a/crates/lab/src/links/tcp.rs
+++ b/crates/lab/src/links/tcp.rs
@@ -208,12 +208,23 @@
     let [forth, back] = flows(&shared.core, nth);
     let forth = pump(forth, &client, &target, resets);
     let back = pump(back, &target, &client, resets);
-    if tokio::try_join!(forth, back) == Err(Reset) {
+    if let Err(reset) = tokio::try_join!(forth, back) {
+        news_passes(shared, reset, resets).await;
         counts.reset.fetch_add(1, Relaxed);
         let _ = (reset_on_drop(&client), reset_on_drop(&target));
     }
 }
 
+/// Waits out a silent cut of the direction over which the news of a reset has to go.
+async fn news_passes(shared: &Shared, reset: Reset, resets: u64) {
+    let Some(way) = reset.news_over else { return };
+    let mut changes = shared.core.changes();
+    let cut = || shared.core.lines()[way as usize].holds();
+    while cut() && shared.core.resets() == resets {
+        let _ = changes.changed().await;
+    }
+}
+
 /// The connection to the target, begun when no cut is in force; a cut with a reset ends it.
 async fn dial(shared: &Shared, resets: u64) -> Option<TcpStream> {
     let mut changes = shared.core.changes();
--- a/crates/lab/tests/links/datagrams.rs
+++ b/crates/lab/tests/links/datagrams.rs
@@ -1,7 +1,7 @@
 //! UDP links.
 
 use super::{links, lossy, udp, HERE};
-use shaletide_lab::links::{Cut, Direction, Fault, Link, Links};
+use shaletide_lab::links::{Cut, Direction, Fault, Link, Links, MAX_SENDERS};
 use shaletide_testkit::Law;
 use std::collections::BTreeMap;
 use std::net::UdpSocket;
@@ -196,3 +196,19 @@
     super::until("dropped", || ends.link.stats().forth.dropped_by_cut == 10);
     assert_eq!(ends.link.stats().forth.passed_bytes_since_set, 0);
 }
+
+#[test]
+fn a_link_knows_a_bounded_number_of_senders_and_forgets_the_one_heard_of_longest_ago() {
+    let ends = ends();
+    ends.client.send(&[0, 0]).unwrap();
+    receive(&ends.target);
+    let others: Vec<UdpSocket> = (0..MAX_SENDERS).map(|_| udp().0).collect();
+    for other in &others {
+        other.send_to(&[0, 1], ends.link.address()).unwrap();
+        receive(&ends.target);
+    }
+    super::until("forgotten", || ends.link.stats().open == MAX_SENDERS as u64);
+    ends.client.send(&[0, 2]).unwrap();
+    receive(&ends.target);
+    assert_eq!(ends.link.stats().accepted, MAX_SENDERS as u64 + 2);
+}
--- a/crates/lab/tests/links/streams.rs
+++ b/crates/lab/tests/links/streams.rs
@@ -140,6 +140,24 @@
     assert_eq!((stats.forth.passed_bytes_since_set, stats.back.passed_bytes), (0, 500));
 }
 
+#[test]
+fn the_death_of_a_receiver_is_no_news_before_the_cut_of_the_way_back_heals() {
+    let (links, (listener, target)) = (links(), listener());
+    let link = links.tcp("web", ["client", "box"], HERE, target).unwrap();
+    let (mut client, mut server) = connect(link.address(), &listener);
+    client.write_all(b"x").unwrap();
+    read(&mut server, 1);
+    link.set(Direction::Back, Fault::cut(Cut::Silent)).unwrap();
+    socket2::SockRef::from(&server).set_linger(Some(Duration::ZERO)).unwrap();
+    drop(server);
+    client.write_all(b"anyone there?").unwrap();
+    until("it went nowhere", || link.stats().forth.came == 2 && link.stats().forth.held == 0);
+    read_nothing(&mut client);
+    assert_eq!((link.stats().reset, link.stats().open), (0, 1));
+    link.set(Direction::Back, Fault::default()).unwrap();
+    assert_eq!(client.read(&mut [0]).unwrap_err().kind(), ErrorKind::ConnectionReset);
+}
+
 #[test]
 fn an_attempt_to_connect_over_a_silent_cut_meets_no_answer_until_it_heals() {
     let (links, (listener, target)) = (links(), listener());
