--- a/crates/lab/src/links/mod.rs
+++ b/crates/lab/src/links/mod.rs
@@ -12,6 +12,23 @@
 //! in force on all that passes between two sets of these. Bytes are counted where they are written, apart from
 //! what was decided, so that a leak over a cut link shows in [`Tally::passed_bytes_while_cut`].
 //!
+//! ```
+//! use shaletide_lab::links::{Cut, Direction, Fault, Links};
+//! use shaletide_testkit::{Clock, Law};
+//!
+//! # fn main() -> Result<(), Box<dyn std::error::Error>> {
+//! let links = Links::start(Clock::start(), 7)?;
+//! let target = "127.0.0.1:8080".parse()?;
+//! let link = links.tcp("p1>box4", ["p1", "box4"], "127.0.0.1".parse()?, target)?;
+//! links.group("west", &["p1", "p2"]);
+//! println!("for p1's file: {}", link.address());
+//! link.set(Direction::Both, Fault::delay_ms(Law::Even(2.0, 5.0)))?;
+//! let met = links.set_between(&["west"], &["box4"], Direction::Forth, Fault::cut(Cut::Silent))?;
+//! assert_eq!((met, links.leaks()), (1, vec![]));
+//! # Ok(())
+//! # }
+//! ```
+//!
 //! Everything is bounded; the bounds are constants of this module. Worst cases: a connection holds
 //! 2 × ([`MAX_HELD_STREAM_BYTES`] + [`MAX_CHUNK`]), a flow of datagrams [`MAX_HELD_DATAGRAM_BYTES`] +
 //! [`MAX_REPLAY_BYTES`].
