--- a/crates/lab/src/links/tcp.rs
+++ b/crates/lab/src/links/tcp.rs
@@ -92,9 +92,13 @@
         Ok(Silence { filler })
     }
 
-    /// Listens again. If the filler stands in the queue: its address, to be known by when it is taken.
-    fn end(self, listener: &TcpListener) -> io::Result<Option<SocketAddr>> {
-        SockRef::from(listener).listen(BACKLOG)?;
+    /// Listens again, unless a reset cut stopped the listener meanwhile. If the filler stands in the queue: its
+    /// address, to be known by when it is taken.
+    fn end(self, listener: &Arc<TcpListener>) -> io::Result<Option<SocketAddr>> {
+        if !listens(listener) {
+            return Ok(None);
+        }
+        SockRef::from(&**listener).listen(BACKLOG)?;
         let stands = self.filler.peer_addr().is_ok();
         Ok(if stands { self.filler.local_addr()?.as_socket() } else { None })
     }
@@ -153,7 +157,7 @@
         }
     }
 
-    async fn stay_silent(&mut self, listener: &TcpListener, changes: &mut watch::Receiver<()>) {
+    async fn stay_silent(&mut self, listener: &Arc<TcpListener>, changes: &mut watch::Receiver<()>) {
         let silence = Silence::begin(listener, self.place.address);
         while door(&self.shared) == Door::Silent {
             let _ = changes.changed().await;
--- a/crates/lab/tests/links/streams.rs
+++ b/crates/lab/tests/links/streams.rs
@@ -84,6 +84,30 @@
     until("taken again", || TcpStream::connect(link.address()).is_ok());
 }
 
+#[test]
+fn cuts_follow_each_other_in_any_order_and_heal() {
+    let (links, (listener, target)) = (links(), listener());
+    let link = links.tcp("web", ["client", "box"], HERE, target).unwrap();
+    let turns =
+        [Cut::Silent, Cut::Reset, Cut::Silent, Cut::None, Cut::Reset, Cut::None, Cut::Silent, Cut::None];
+    for turn in 0..20 {
+        for cut in turns {
+            link.set(Direction::Forth, Fault::cut(cut)).unwrap();
+            if turn % 2 == 0 {
+                let _ = TcpStream::connect_timeout(&link.address(), Duration::from_millis(1));
+            }
+        }
+        link.refuse(true);
+        link.refuse(false);
+        until("taken", || TcpStream::connect(link.address()).is_ok());
+    }
+    listener.set_nonblocking(true).unwrap();
+    until("all begun are done", || {
+        drop(listener.accept());
+        link.stats().open == 0
+    });
+}
+
 #[test]
 fn a_target_said_to_be_down_is_refused_at_the_link_and_open_connections_go_on() {
     let (links, (listener, target)) = (links(), listener());
