--- a/crates/lab/src/links/tcp.rs
+++ b/crates/lab/src/links/tcp.rs
@@ -56,13 +56,18 @@
         self.address
     }
 
-    pub fn listen(&self) -> io::Result<TcpListener> {
+    pub fn listen(&self) -> io::Result<Arc<TcpListener>> {
         let socket = bound(self.address)?;
         socket.listen(BACKLOG)?;
-        TcpListener::from_std(StdListener::from(socket))
+        TcpListener::from_std(StdListener::from(socket)).map(Arc::new)
     }
 }
 
+/// Whether nobody stopped it, as a cut with a reset does.
+fn listens(listener: &Arc<TcpListener>) -> bool {
+    SockRef::from(&**listener).is_listener().unwrap_or(false)
+}
+
 fn bound(address: SocketAddr) -> io::Result<Socket> {
     let socket = Socket::new(Domain::for_address(address), Type::STREAM, None)?;
     // The guard and the listener share the address; with nobody listening the kernel refuses.
@@ -87,9 +92,13 @@
         Ok(Silence { filler })
     }
 
-    /// Listens again. If the filler stands in the queue: its address, to be known by when it is taken.
-    fn end(self, listener: &TcpListener) -> io::Result<Option<SocketAddr>> {
-        SockRef::from(listener).listen(BACKLOG)?;
+    /// Listens again, unless a reset cut stopped the listener meanwhile. If the filler stands in the queue: its
+    /// address, to be known by when it is taken.
+    fn end(self, listener: &Arc<TcpListener>) -> io::Result<Option<SocketAddr>> {
+        if !listens(listener) {
+            return Ok(None);
+        }
+        SockRef::from(&**listener).listen(BACKLOG)?;
         let stands = self.filler.peer_addr().is_ok();
         Ok(if stands { self.filler.local_addr()?.as_socket() } else { None })
     }
@@ -123,7 +132,7 @@
     }
 
     /// Listens as the faults say. The first listener is made by the caller, so that the link is there at once.
-    pub async fn run(mut self, first: TcpListener) {
+    pub async fn run(mut self, first: Arc<TcpListener>) {
         let mut listener = Some(first);
         let mut changes = self.shared.core.changes();
         loop {
@@ -134,10 +143,11 @@
                 let _ = changes.changed().await;
                 continue;
             }
-            let Ok(open) = listener.take().map_or_else(|| self.place.listen(), Ok) else {
+            let Ok(open) = listener.take().filter(listens).map_or_else(|| self.place.listen(), Ok) else {
                 tokio::time::sleep(RELISTEN).await;
                 continue;
             };
+            self.shared.core.listens_at(&open);
             if door == Door::Silent {
                 self.stay_silent(&open, &mut changes).await;
             } else {
@@ -147,7 +157,7 @@
         }
     }
 
-    async fn stay_silent(&mut self, listener: &TcpListener, changes: &mut watch::Receiver<()>) {
+    async fn stay_silent(&mut self, listener: &Arc<TcpListener>, changes: &mut watch::Receiver<()>) {
         let silence = Silence::begin(listener, self.place.address);
         while door(&self.shared) == Door::Silent {
             let _ = changes.changed().await;
@@ -202,12 +212,23 @@
     let [forth, back] = flows(&shared.core, nth);
     let forth = pump(forth, &client, &target, resets);
     let back = pump(back, &target, &client, resets);
-    if tokio::try_join!(forth, back) == Err(Reset) {
+    if let Err(reset) = tokio::try_join!(forth, back) {
+        news_passes(shared, reset, resets).await;
         counts.reset.fetch_add(1, Relaxed);
         let _ = (reset_on_drop(&client), reset_on_drop(&target));
     }
 }
 
+/// Waits out a silent cut of the direction over which the news of a reset has to go.
+async fn news_passes(shared: &Shared, reset: Reset, resets: u64) {
+    let Some(way) = reset.news_over else { return };
+    let mut changes = shared.core.changes();
+    let cut = || shared.core.lines()[way as usize].holds();
+    while cut() && shared.core.resets() == resets {
+        let _ = changes.changed().await;
+    }
+}
+
 /// The connection to the target, begun when no cut is in force; a cut with a reset ends it.
 async fn dial(shared: &Shared, resets: u64) -> Option<TcpStream> {
     let mut changes = shared.core.changes();
--- a/crates/lab/tests/links/streams.rs
+++ b/crates/lab/tests/links/streams.rs
@@ -76,22 +76,48 @@
     link.set(Direction::Forth, Fault::cut(Cut::Reset)).unwrap();
     assert_eq!(client.read(&mut [0]).unwrap_err().kind(), ErrorKind::ConnectionReset);
     assert_eq!(server.read(&mut [0]).unwrap_err().kind(), ErrorKind::ConnectionReset);
-    until("refused", || {
-        TcpStream::connect(link.address()).is_err_and(|e| e.kind() == ErrorKind::ConnectionRefused)
-    });
+    for _ in 0..100 {
+        let attempt = TcpStream::connect(link.address());
+        assert!(attempt.is_err_and(|e| e.kind() == ErrorKind::ConnectionRefused));
+    }
     link.set(Direction::Forth, Fault::default()).unwrap();
     until("taken again", || TcpStream::connect(link.address()).is_ok());
 }
 
+#[test]
+fn cuts_follow_each_other_in_any_order_and_heal() {
+    let (links, (listener, target)) = (links(), listener());
+    let link = links.tcp("web", ["client", "box"], HERE, target).unwrap();
+    let turns =
+        [Cut::Silent, Cut::Reset, Cut::Silent, Cut::None, Cut::Reset, Cut::None, Cut::Silent, Cut::None];
+    for turn in 0..20 {
+        for cut in turns {
+            link.set(Direction::Forth, Fault::cut(cut)).unwrap();
+            if turn % 2 == 0 {
+                let _ = TcpStream::connect_timeout(&link.address(), Duration::from_millis(1));
+            }
+        }
+        link.refuse(true);
+        link.refuse(false);
+        until("taken", || TcpStream::connect(link.address()).is_ok());
+    }
+    listener.set_nonblocking(true).unwrap();
+    until("all begun are done", || {
+        drop(listener.accept());
+        link.stats().open == 0
+    });
+}
+
 #[test]
 fn a_target_said_to_be_down_is_refused_at_the_link_and_open_connections_go_on() {
     let (links, (listener, target)) = (links(), listener());
     let link = links.tcp("web", ["client", "box"], HERE, target).unwrap();
     let (mut client, mut server) = connect(link.address(), &listener);
     link.refuse(true);
-    until("refused", || {
-        TcpStream::connect(link.address()).is_err_and(|e| e.kind() == ErrorKind::ConnectionRefused)
-    });
+    for _ in 0..100 {
+        let attempt = TcpStream::connect(link.address());
+        assert!(attempt.is_err_and(|e| e.kind() == ErrorKind::ConnectionRefused));
+    }
     client.write_all(b"x").unwrap();
     assert_eq!(read(&mut server, 1), b"x");
     link.refuse(false);
@@ -138,6 +164,24 @@
     assert_eq!((stats.forth.passed_bytes_since_set, stats.back.passed_bytes), (0, 500));
 }
 
+#[test]
+fn the_death_of_a_receiver_is_no_news_before_the_cut_of_the_way_back_heals() {
+    let (links, (listener, target)) = (links(), listener());
+    let link = links.tcp("web", ["client", "box"], HERE, target).unwrap();
+    let (mut client, mut server) = connect(link.address(), &listener);
+    client.write_all(b"x").unwrap();
+    read(&mut server, 1);
+    link.set(Direction::Back, Fault::cut(Cut::Silent)).unwrap();
+    socket2::SockRef::from(&server).set_linger(Some(Duration::ZERO)).unwrap();
+    drop(server);
+    client.write_all(b"anyone there?").unwrap();
+    until("it went nowhere", || link.stats().forth.came == 2 && link.stats().forth.held == 0);
+    read_nothing(&mut client);
+    assert_eq!((link.stats().reset, link.stats().open), (0, 1));
+    link.set(Direction::Back, Fault::default()).unwrap();
+    assert_eq!(client.read(&mut [0]).unwrap_err().kind(), ErrorKind::ConnectionReset);
+}
+
 #[test]
 fn an_attempt_to_connect_over_a_silent_cut_meets_no_answer_until_it_heals() {
     let (links, (listener, target)) = (links(), listener());
