--- a/crates/lab/tests/judge/figures.rs
+++ b/crates/lab/tests/judge/figures.rs
@@ -14,8 +14,13 @@
         1 => (TryEnd::Refused { status: 429 }, 5),
         _ => calm(second, nth),
     });
-    for (request, end) in [(2, TryEnd::Served), (3, TryEnd::Silent)] {
-        samples.push(run_of(request, 0, 20, end));
+    // One more that was served, and one that was cancelled before the one that was: it brought half the work.
+    for (request, end, work) in [(2, TryEnd::Served, 10.0), (3, TryEnd::Silent, 5.0)] {
+        let mut more = run_of(request, 0, 20, end);
+        if let Sample::BoxRun { work_ms, .. } = &mut more {
+            *work_ms = work;
+        }
+        samples.push(more);
     }
     let mut turned_away = run_of(5, 0, 20, TryEnd::Silent);
     if let Sample::BoxRun { end, .. } = &mut turned_away {
@@ -26,7 +31,8 @@
     let waste = findings.waste;
     assert_eq!((waste.all.runs, waste.for_nothing.runs, waste.doubled.runs), (92, 10, 2));
     assert_eq!((waste.sent, waste.turned_away), (93, 1));
-    assert!((waste.share().expect("work") - 12.0 / 92.0).abs() < 1e-9);
+    assert_eq!((waste.for_nothing.work_ms, waste.doubled.work_ms), (100.0, 15.0));
+    assert!((waste.share().expect("work") - 115.0 / 915.0).abs() < 1e-9);
     assert_eq!(findings.attempts_per_request(), Some(0.93));
     let total = findings.total;
     assert_eq!((total.served, total.silent, total.refused), (80, 10, 10));
--- a/crates/lab/tests/judge/lies.rs
+++ b/crates/lab/tests/judge/lies.rs
@@ -164,12 +164,16 @@
 #[test]
 fn what_comes_over_two_seconds_after_the_proxy_was_told_is_found_unless_it_was_told_otherwise() {
     let told = |at_us, proxy, state: &str| Sample::Told { at_us, proxy, at_box: 1, state: state.into() };
+    let started = |at| Sample::Boot { at_box: 1, boot: 0, at_us: Some(at), died_us: None };
     // Proxy 1 alone sends to box 1, in each second.
     for (news, expected) in [
         (vec![told(18 * S, 1, "draining")], vec![]),
         (vec![told(17 * S, 1, "draining")], vec!["drained_left_alone"]),
         (vec![told(5 * S, 1, "draining"), told(6 * S, 1, "serving")], vec![]),
         (vec![told(5 * S, 0, "gone")], vec![]),
+        (vec![told(17 * S, 1, "draining"), told(18 * S, 1, "gone")], vec!["drained_left_alone"]),
+        (vec![told(10 * S, 1, "draining"), started(9 * S)], vec!["drained_left_alone"]),
+        (vec![told(10 * S, 1, "draining"), started(11 * S)], vec![]),
     ] {
         let mut samples = honest();
         samples.extend(news.clone());
--- a/crates/lab/tests/judge/recovery.rs
+++ b/crates/lab/tests/judge/recovery.rs
@@ -73,6 +73,8 @@
     let verdict = run(40, relapse, &[("kill", 20 * S)]);
     let recovery = &verdict.findings.faults[0].recovery;
     assert_eq!((recovery.full, recovery.relapsed_s), (after(3_000), 1));
+    let verdict = run(40, relapse, &[("kill", 20 * S), ("cut", 30 * S)]);
+    assert_eq!(verdict.findings.faults[0].recovery.relapsed_s, 0, "that is the next fault's");
 }
 
 #[test]
@@ -211,6 +213,7 @@
         let expected =
             if met { (Ruling::Passed, Outcome::Ok) } else { (Ruling::Failed, Outcome::ProvedNothing) };
         assert_eq!((verdict.ruling, verdict.expectations[0].outcome), expected, "{at_us} {touches:?}");
+        assert_eq!(verdict.findings.faults[0].unmet.is_none(), met);
     }
 }
 
