--- a/crates/lab/src/experiment/steps.rs
+++ b/crates/lab/src/experiment/steps.rs
@@ -61,6 +61,8 @@
     pub loss: f64,
     /// Bytes a second.
     pub rate: Option<u64>,
+    /// Chance that a byte of a chunk is changed.
+    pub corrupt: f64,
     /// It lies between the front and proxies.
     pub front: bool,
     /// It lies between proxies and the list service.
@@ -277,6 +279,7 @@
         delay_ms: if word == "cut" { table.number_or("delay_ms", (0.0, 60_000.0), 0.0) } else { 0.0 },
         loss: if word == "cut" { table.number_or("loss", (0.0, 1.0), 0.0) } else { 0.0 },
         rate: if word == "cut" { table.whole("rate", (1, 1 << 40)) } else { None },
+        corrupt: if word == "cut" { table.number_or("corrupt", (0.0, 1.0), 0.0) } else { 0.0 },
         front: from_front,
         list,
     };
--- a/crates/lab/src/paths.rs
+++ b/crates/lab/src/paths.rs
@@ -113,7 +113,8 @@
         }
     }
 
-    /// Puts a fault in force between these proxies and boxes, or makes all of that clean again.
+    /// Puts a fault in force between these proxies and boxes, or makes all of that clean again. How many directions of
+    /// links it met.
     ///
     /// # Errors
     /// A value out of its range.
@@ -135,8 +136,13 @@
             Some(false) => Cut::Silent,
             None => Cut::None,
         };
-        let (delay_ms, loss, rate) = (Law::Fixed(fault.delay_ms), fault.loss, fault.rate);
-        let put = if on { Fault { cut, delay_ms, loss, rate, ..Fault::default() } } else { Fault::default() };
+        let (delay_ms, loss) = (Law::Fixed(fault.delay_ms), fault.loss);
+        let (rate, corrupt) = (fault.rate, fault.corrupt);
+        let put = if on {
+            Fault { cut, delay_ms, loss, rate, corrupt, ..Fault::default() }
+        } else {
+            Fault::default()
+        };
         self.links.set_between(&near, &far, direction, put)
     }
 
--- a/crates/lab/src/run/driver.rs
+++ b/crates/lab/src/run/driver.rs
@@ -247,8 +247,11 @@
         let experiment = self.experiment.clone();
         if let What::Links { fault, proxies, boxes } = &experiment.steps[step].what {
             let (proxies, boxes) = self.link_ends(proxies, boxes);
-            if let Err(e) = self.paths.set(fault, &proxies, &boxes, on) {
-                self.void.push(format!("{}: {e}", experiment.steps[step].label));
+            let label = &experiment.steps[step].label;
+            match self.paths.set(fault, &proxies, &boxes, on) {
+                Ok(0) => self.void.push(format!("{label}: no link leads there")),
+                Ok(_) => {}
+                Err(e) => self.void.push(format!("{label}: {e}")),
             }
         }
     }
--- a/crates/lab/tests/experiment.rs
+++ b/crates/lab/tests/experiment.rs
@@ -100,3 +100,39 @@
     assert_eq!(text.matches("[limits]").count(), 1, "{text}");
     assert!(text.contains("position = 3\n") && text.contains("discovery = \"127.9.9.9:80\""), "{text}");
 }
+
+const PAGE: &str = include_str!("../../../docs/lab.md");
+
+#[test]
+fn the_experiment_on_the_page_is_sound_as_it_stands() {
+    let text =
+        PAGE.split("```toml\n").nth(1).and_then(|rest| rest.split("```").next()).expect("an experiment");
+    let experiment = Experiment::read("page", text).unwrap_or_else(|mistakes| panic!("{mistakes}"));
+    assert_eq!((experiment.steps.len(), experiment.expect.len()), (1, 1));
+}
+
+/// Each section is given a key that is unknown: what is expected in its place are all keys that there are.
+#[test]
+fn every_key_is_on_the_page() {
+    let words = "kill term stop cont start restart reload cut heal list drain kill-boxes start-boxes replace slow silent \
+                 fail well burst";
+    let steps =
+        words.split_whitespace().map(|word| format!("[[at]]\nxx = 1\nat = \"1s\"\ndo = \"{word}\"\n"));
+    let sections = "[fleet]\nxx = 1\n[boxes]\nxx = 1\n[list]\nxx = 1\n[load]\nxx = 1\n[front]\nxx = 1\n\
+                    [[class]]\nxx = 1\n[[tenant]]\nxx = 1\n[[group]]\nxx = 1\n[[expect]]\nxx = 1\n";
+    let text = ["xx = 1\n", sections, &steps.collect::<String>()].concat();
+    let mistakes = Experiment::read("x.toml", &text).expect_err("unknown keys");
+    let lists = mistakes.shown().iter().filter(|m| m.what.ends_with("xx is unknown"));
+    let mut keys = std::collections::BTreeSet::new();
+    let mut sections = 0;
+    for mistake in lists {
+        sections += 1;
+        let list = mistake.expected.trim_start_matches("expected one of: ");
+        keys.extend(list.split(", ").map(str::to_string));
+    }
+    assert!(sections == 10 + 19 && keys.len() > 60, "{sections}, {keys:?}");
+    let missing: Vec<&String> = keys.iter().filter(|key| !PAGE.contains(&format!("`{key}`"))).collect();
+    let tables = ["at", "boxes", "class", "expect", "fleet", "front", "group", "list", "load", "tenant"];
+    let missing: Vec<_> = missing.into_iter().filter(|key| !tables.contains(&key.as_str())).collect();
+    assert!(missing.is_empty(), "{missing:?}");
+}
