--- a/crates/lab/src/fleet/ready.rs
+++ b/crates/lab/src/fleet/ready.rs
@@ -16,7 +16,7 @@
 /// Nobody waits longer.
 const LONGEST: Duration = Duration::from_secs(600);
 
-/// Whether it says so at this moment; blocks for [`WAIT`] at most twice.
+/// Whether it says so at this moment; blocks for a second at most.
 pub fn is_ready(address: SocketAddr) -> bool {
     let ask = || -> std::io::Result<bool> {
         let mut tcp = TcpStream::connect_timeout(&address, WAIT)?;
--- a/crates/lab/src/links/mesh.rs
+++ b/crates/lab/src/links/mesh.rs
@@ -36,7 +36,7 @@
 pub(super) struct Pairs {
     names: Vec<String>,
     real: Mutex<Vec<SocketAddr>>,
-    /// For each pair (low, high) of peers, at [`Pairs::place`]; from the lower to the higher is forth.
+    /// For each pair (low, high) of peers, at its place; from the lower to the higher is forth.
     cores: Vec<Arc<Core>>,
     strangers: AtomicU64,
 }
--- a/crates/lab/src/report/mod.rs
+++ b/crates/lab/src/report/mod.rs
@@ -1,4 +1,4 @@
-//! Shows a verdict: [`text`] for a terminal, [`html`] as one page that needs nothing beside it.
+//! Shows a verdict: [`text()`] for a terminal, [`html`] as one page that needs nothing beside it.
 //!
 //! Both show the same [`tables`]; the page adds pictures. Nothing is measured here.
 
