--- a/crates/lab/src/clients/mod.rs
+++ b/crates/lab/src/clients/mod.rs
@@ -224,7 +224,7 @@
             }
             let late = Instant::now().saturating_duration_since(due).as_micros() as u64;
             self.controls.late_us.fetch_max(late, Ordering::Relaxed);
-            let wish = wish(experiment, number, &mut self.dice.borrow_mut());
+            let wish = wish(experiment, self.start.seed, number);
             number += 1;
             if self.open.get() >= experiment.load.connections {
                 let most = experiment.load.connections;
--- a/crates/lab/src/clients/request.rs
+++ b/crates/lab/src/clients/request.rs
@@ -24,8 +24,10 @@
     pub subject: u64,
 }
 
-/// Draws wishes in the parts that the experiment says; zones have even parts.
-pub fn wish(experiment: &Experiment, request: u64, dice: &mut Dice) -> Wish {
+/// Draws a wish in the parts that the experiment says; zones have even parts. The same number has the same wish under
+/// the same seed, whatever became of those before.
+pub fn wish(experiment: &Experiment, seed: u64, request: u64) -> Wish {
+    let mut dice = Dice::of(seed, &format!("wish {request}"));
     let class = pick(dice.part(), experiment.classes.iter().map(|c| c.share));
     let tenant = pick(dice.part(), experiment.tenants.iter().map(|t| t.share));
     let zones = experiment.fleet.zones.len();
@@ -126,8 +128,8 @@
 
     #[test]
     fn wishes_come_in_the_parts_that_are_asked_for() {
-        let (experiment, mut dice) = (experiment(), Dice::new(3));
-        let wishes: Vec<Wish> = (0..4_000).map(|n| wish(&experiment, n, &mut dice)).collect();
+        let experiment = experiment();
+        let wishes: Vec<Wish> = (0..4_000).map(|n| wish(&experiment, 3, n)).collect();
         let count = |of: &dyn Fn(&Wish) -> bool| wishes.iter().filter(|w| of(w)).count();
         assert!((2_850..3_150).contains(&count(&|w| w.class == 0)));
         assert!((1_850..2_150).contains(&count(&|w| w.zone == 1)));
--- a/crates/lab/src/own.rs
+++ b/crates/lab/src/own.rs
@@ -1,7 +1,7 @@
 //! The lab's own experiments.
 
 /// Name and text of each.
-pub const EXPERIMENTS: [(&str, &str); 11] = [
+pub const EXPERIMENTS: [(&str, &str); 12] = [
     ("calm", include_str!("../experiments/calm.toml")),
     ("rolling-restart", include_str!("../experiments/rolling-restart.toml")),
     ("herd-70", include_str!("../experiments/herd-70.toml")),
@@ -12,6 +12,7 @@
     ("replace-half-restart-half", include_str!("../experiments/replace-half-restart-half.toml")),
     ("frozen-10s", include_str!("../experiments/frozen-10s.toml")),
     ("old-list", include_str!("../experiments/old-list.toml")),
+    ("hot-proxy", include_str!("../experiments/hot-proxy.toml")),
     ("example", include_str!("../experiments/example.toml")),
 ];
 
