--- a/crates/lab/tests/runs/main.rs
+++ b/crates/lab/tests/runs/main.rs
@@ -113,3 +113,17 @@
         assert_eq!(ran.status, 0, "{}", ran.said);
     }
 }
+
+#[test]
+fn seeds_are_repeated_and_experiments_compared_in_pairs() {
+    let _turn = turn();
+    let (first, second) = (written("first", &file(2, "", "")), written("second", &file(2, "", "")));
+    let program = program().display().to_string();
+    let with = ["--quiet", "--program", &program, "--seed", "7"];
+    let [first, second] = [first.text(), second.text()];
+    let repeated = lab(&[&["repeat", &first, "--seeds", "2"], &with[..]].concat());
+    assert!(repeated.said.contains("seed 7") && repeated.said.contains("seed 8"), "{}", repeated.said);
+    assert!(repeated.said.contains("served_share"), "{}", repeated.said);
+    let compared = lab(&[&["compare", &first, &second, "--pairs", "1"], &with[..]].concat());
+    assert!(compared.said.contains("served_share") && compared.status != 2, "{}", compared.said);
+}
--- a/crates/lab/tests/runs/rig.rs
+++ b/crates/lab/tests/runs/rig.rs
@@ -68,7 +68,7 @@
 pub fn file(length_s: u32, steps: &str, expected: &str) -> String {
     format!(
         "name = \"small\"\nlength = \"{length_s}s\"\n[fleet]\nproxies = 3\nkill_after = \"500ms\"\n\
-         [boxes]\ncount = 4\n[load]\nrequests_per_s = 40\n[front]\ncheck_every = \"200ms\"\n\
+         [boxes]\ncount = 4\n[load]\nrequests_per_s = 40\nrequests_per_connection = 3\n[front]\ncheck_every = \"200ms\"\n\
          notices_after = \"300ms\"\n[[class]]\nname = \"read\"\n[[class]]\nname = \"pay\"\neffect = \"unsafe\"\n\
          share = 0.5\n{steps}{expected}"
     )
