--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -11,6 +11,7 @@
 use shaletide_lab::run::{run, Options};
 use shaletide_lab::samples::{self, Sample};
 use shaletide_lab::{fleet, own, report};
+use std::collections::BTreeMap;
 use std::fs;
 use std::io::{BufReader, BufWriter, Read};
 use std::path::{Path, PathBuf};
@@ -159,9 +160,26 @@
     fs::write(dir.join("experiment.toml"), text).map_err(|e| e.to_string())?;
     let file = fs::File::create(dir.join("samples.jsonl")).map_err(|e| e.to_string())?;
     samples::write(BufWriter::new(file), samples).map_err(|e| shaletide_base::causes(&e))?;
+    for (proxy, text) in logs(samples) {
+        let folder = dir.join(format!("p{proxy}"));
+        let written = fs::create_dir_all(&folder).and_then(|()| fs::write(folder.join("log.txt"), text));
+        written.map_err(|e| e.to_string())?;
+    }
     page(dir, verdict)
 }
 
+/// What each proxy logged, a line with the second of the run in which it was read.
+fn logs(samples: &[Sample]) -> BTreeMap<u32, String> {
+    let mut logs: BTreeMap<u32, String> = BTreeMap::new();
+    for sample in samples {
+        if let Sample::Log { at_us, proxy, line } = sample {
+            let text = logs.entry(*proxy).or_default();
+            *text += &format!("{:9.3} {line}\n", *at_us as f64 / 1e6);
+        }
+    }
+    logs
+}
+
 fn page(dir: &Path, verdict: &Verdict) -> Result<(), String> {
     fs::write(dir.join("report.html"), report::html(verdict)).map_err(|e| e.to_string())?;
     let json = serde_json::to_vec_pretty(verdict).map_err(|e| e.to_string())?;
