--- a/crates/lab/tests/runs/ends.rs
+++ b/crates/lab/tests/runs/ends.rs
@@ -54,17 +54,17 @@
 }
 
 /// The lab in the middle of a run of that text, and all that it has started.
-fn midway(name: &str, text: &str) -> (Child, BTreeSet<Who>, Temporary) {
-    let path = written(name, text);
+fn midway(name: &str, text: &str) -> (Child, BTreeSet<Who>, [Temporary; 2]) {
+    let (path, out) = (written(name, text), folder(name));
     let mut command = Command::new(LAB);
-    command.args(["run", &path.text(), "--program"]).arg(program());
+    command.args(["run", &path.text(), "--out", &out.text(), "--program"]).arg(program());
     let mut child = command.stdout(Stdio::null()).stderr(Stdio::piped()).spawn().expect("the lab");
     let mut said = BufReader::new(child.stderr.take().expect("a pipe")).lines();
     assert!(said.any(|line| line.is_ok_and(|line| line.starts_with("  1 s"))), "it never got so far");
     std::thread::spawn(move || said.for_each(drop)); // it may go on talking
     let family = family(child.id());
     assert!(family.len() >= 6, "three guards and three processes: {family:?}");
-    (child, family, path)
+    (child, family, [path, out])
 }
 
 #[test]
@@ -72,7 +72,7 @@
     let _turn = turn();
     // One of them stands still when it happens.
     let step = "[[at]]\nat = \"500ms\"\ndo = \"stop\"\nwho = \"p0\"\n";
-    let (mut lab, family, _path) = midway("killed", &file(60, step, ""));
+    let (mut lab, family, _files) = midway("killed", &file(60, step, ""));
     lab.kill().expect("the signal");
     lab.wait().expect("its end");
     assert_eq!(left(&family), []);
@@ -82,7 +82,7 @@
 fn a_lab_that_is_interrupted_ends_all_and_says_that_the_run_is_void() {
     let _turn = turn();
     for signal in [Signal::INT, Signal::TERM] {
-        let (mut lab, family, _path) = midway("interrupted", &file(60, "", ""));
+        let (mut lab, family, _files) = midway("interrupted", &file(60, "", ""));
         kill_process(Pid::from_child(&lab), signal).expect("the signal");
         assert_eq!(lab.wait().expect("its end").code(), Some(3));
         assert_eq!(left(&family), []);
@@ -92,7 +92,7 @@
 #[test]
 fn a_guard_that_is_killed_takes_its_process_with_it_and_the_run_sees_that() {
     let _turn = turn();
-    let (mut lab, family, _path) = midway("guard", &file(60, "", ""));
+    let (mut lab, family, _files) = midway("guard", &file(60, "", ""));
     let direct = all().into_iter().find(|(_, parent)| *parent == lab.id()).expect("a guard").0;
     let below = self::family(direct.0);
     let guard = Pid::from_raw(direct.0 as i32).expect("a number");
