The fleet lab: many real processes, links that fail between them, a measured account

Change: crates/lab (shaletide-lab) with links, experiments, processes under guards, judge and report; testkit's boxes count and crowd.

--- /dev/null
+++ b/crates/lab/src/fleet/place.rs
@@ -0,0 +1,55 @@
+//! Addresses of a run's own: each process has one of 127.0.0.0/8, and its port is held also while it is down.
+
+use socket2::{Domain, Socket, Type};
+use std::io;
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
+use std::sync::atomic::{AtomicU32, Ordering};
+
+/// Runs of this process so far.
+static RUNS: AtomicU32 = AtomicU32::new(0);
+
+/// The addresses of one run. Runs of different processes at a time seldom share any, and where they do the ports
+/// that the kernel picks differ.
+#[derive(Clone, Copy, Debug)]
+pub struct Addresses {
+    first: u32,
+}
+
+impl Addresses {
+    /// From that one on, or those of a new run of this process. None is `127.0.0.1`.
+    pub fn new(first: Option<Ipv4Addr>) -> Addresses {
+        let run = RUNS.fetch_add(1, Ordering::Relaxed);
+        let mixed =
+            std::process::id().wrapping_mul(2_654_435_761).wrapping_add(run.wrapping_mul(40_503)) >> 3;
+        let own = Ipv4Addr::new(127, 64 + (mixed >> 8 & 0x3f) as u8, mixed as u8, 1);
+        Addresses { first: first.unwrap_or(own).to_bits() }
+    }
+
+    /// The address of a place from 0 to 199.
+    pub fn at(&self, place: usize) -> IpAddr {
+        IpAddr::V4(Ipv4Addr::from_bits(self.first + (place % 200) as u32))
+    }
+}
+
+/// A port that is kept for a process that listens there now and then.
+#[derive(Debug)]
+pub struct Door {
+    _hold: Socket,
+    /// Where it is.
+    pub address: SocketAddr,
+}
+
+impl Door {
+    /// Takes that port, or one that the kernel picks for 0.
+    ///
+    /// # Errors
+    /// The address cannot be had.
+    pub fn new(ip: IpAddr, port: u16) -> io::Result<Door> {
+        let wanted = SocketAddr::new(ip, port);
+        let hold = Socket::new(Domain::for_address(wanted), Type::STREAM, None)?;
+        hold.set_reuse_address(true)?;
+        hold.bind(&wanted.into())?;
+        let address = hold.local_addr()?.as_socket().ok_or(io::ErrorKind::AddrNotAvailable)?;
+        Ok(Door { _hold: hold, address })
+    }
+}
--- a/crates/testkit/src/lib.rs
+++ b/crates/testkit/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod checks;
 mod client;
 mod clock;
+mod crowd;
 mod dice;
 mod fault;
 mod fleet;
@@ -33,14 +34,18 @@
 pub use backend::{ok, BackendServer, Gate, Refusing, Reply, Seen};
 pub use client::{pay, read, vote, Client};
 pub use clock::Clock;
+pub use crowd::{Crowd, Crowding};
 pub use dice::{Dice, Law};
 pub use fault::{own_body, Answer, Fault, Sending};
 pub use fleet::{BoxHandle, BoxSpec, BoxStats, Fleet, FleetSpec, Service};
 pub use ledger::{Boot, BoxInfo, Ended, Ledger, Record, Repeat, MAX_RECORDS};
-pub use listing::{Entry, ListServer, ListService, Status, Told, MAX_TOLD};
-pub use load::{sequential, ClassResult, End, Load, LoadClass, LoadResult, Retry, Sent, Spread};
+pub use listing::{Entry, ListServer, ListService, Status, Told, View, MAX_TOLD};
+pub use load::{
+    sequential, ClassResult, End, Exchange, Kept, Load, LoadClass, LoadResult, Retry, Sent, Spread,
+};
 pub use log::Log;
 pub use message::Message;
+pub use pacer::Pacer;
 pub use power::Power;
 pub use processor::{Finished, Processor};
 pub use proxy::{Program, Proxy, Reload, Running, Serving, SETTINGS};
