A proxy back from a cut forgets what hung in it; a dead box costs no request where few come

And one of three boxes dead but listed, 1.5 requests a second: 503 within 3 ms, as each request brings a fifth of a further attempt and the first bring none.

--- a/crates/balancer/src/rules.rs
+++ b/crates/balancer/src/rules.rs
@@ -16,8 +16,10 @@
 const SOLVE_EVERY: f64 = 0.1;
 /// ... but not before so many requests have come, and a quota holds as many: fewer are chance alone.
 const FEW: f64 = 5.0;
-/// Where a proxy alone has no room to count, memory of what it holds, s: some ten of its own requests.
+/// Where a proxy alone has no room to count, memory of what it holds, s: at most, and in its own requests,
+/// where no box speaks. What hung in a cut is forgotten as soon as others come back.
 const CROWD_MEMORY: f64 = 5.0;
+const CROWD_SAMPLES: f64 = 150.0;
 /// Memory of the arrival rate and of a tenant's quota, s: short beside a ramp or a failure.
 const RATE_MEMORY: f64 = 2.0;
 /// Samples in a kind's or class's mean: its error is then about a tenth of the spread.
@@ -382,7 +384,7 @@
         }
         self.rate.add(now, 1.0);
         let ratio = RETRY_RATIO * if self.losing().is_some() { 2.0 } else { 1.0 };
-        shared.extra = (shared.extra + ratio).min(ratio * KIND_SAMPLES);
+        shared.earn(now, ratio, ratio * KIND_SAMPLES, self.cfg.proxies);
         shared.buckets.resize(self.cfg.tenants.len(), Bucket::new(RATE_MEMORY, FEW));
         let tenant = new.tenant.and_then(|t| self.cfg.tenants.get(t.0).zip(shared.buckets.get_mut(t.0)));
         let part = |t: &Tenant| t.quota_per_s / self.loads.fleet();
@@ -675,6 +677,8 @@
         let carried = self.loads.fleet() * self.reached * self.loads.admitted(false);
         let rate = self.rate.per_s().map(|r| r * carried);
         let told = self.loads.spoken(now);
+        let own = CROWD_SAMPLES / self.rate.per_s().unwrap_or(1.0).max(1e-3);
+        self.crowd.remember(if told { CROWD_MEMORY } else { own }, CROWD_MEMORY);
         for k in self.kinds.values_mut() {
             let flow = if k.ready > 0.0 { rate.unwrap_or(0.0) * k.share / k.ready } else { 0.0 };
             k.comes = flow;
--- a/crates/balancer/src/state.rs
+++ b/crates/balancer/src/state.rs
@@ -68,6 +68,11 @@
         Rate { memory, events: 0.0, seen: 0.0, at: None }
     }
 
+    /// From now on over so long, within a second and `most`.
+    pub fn remember(&mut self, memory: f64, most: f64) {
+        self.memory = memory.clamp(1.0, most);
+    }
+
     /// Counts `level` for each second since the last call.
     pub fn pass(&mut self, now: Time, level: f64) {
         let gap = self.at.map_or(0.0, |at| (now - at).secs());
@@ -94,14 +99,28 @@
 pub struct Allowance {
     /// Further attempts saved up.
     pub(crate) extra: f64,
+    /// When it was last seen to.
+    pub(crate) at: Option<Time>,
     /// By tenant.
     pub(crate) buckets: Vec<Bucket>,
 }
 
+/// So many further attempts a second are allowed over all proxies however few requests come, and at the start: where
+/// one request comes in a second, a fifth of a further one for each leaves most that meet a dead box without.
+const EXTRA_LEAST: f64 = 2.0;
+
 impl Allowance {
     /// Nothing saved up yet.
     pub fn new() -> Allowance {
-        Allowance { extra: 0.0, buckets: Vec::new() }
+        Allowance { extra: 0.0, at: None, buckets: Vec::new() }
+    }
+
+    /// A request came to one of so many proxies: it brings so much of a further attempt, up to `most` saved up.
+    pub(crate) fn earn(&mut self, now: Time, ratio: f64, most: f64, proxies: u32) {
+        let least = EXTRA_LEAST / f64::from(proxies);
+        let gap = self.at.replace(now).map_or(1.0, |at| (now - at).secs());
+        let floor = (self.extra + gap * least).min(least.max(1.0));
+        self.extra = (self.extra + ratio).min(most).max(floor);
     }
 }
 
--- a/crates/balancer/tests/failures.rs
+++ b/crates/balancer/tests/failures.rs
@@ -521,3 +521,18 @@
     };
     assert_eq!(run(false), run(true));
 }
+
+#[test]
+fn a_dead_backend_costs_no_request_however_few_come() {
+    // Seen in the lab: one of three dead and still listed, 1.5 requests a second, some answered 503 at once.
+    let mut host = host(Config { proxies: 1, ..Config::example() }, fleet(3));
+    for _ in 0..30 {
+        let id = host.arrive(0, 900_000);
+        for no in 0..3 {
+            let Some(to) = host.sent_to(id).get(no).copied() else { break };
+            host.end(id, no, if to == 0 { Outcome::ConnectFailed } else { Outcome::Ok });
+        }
+        assert_eq!(host.requests[&id].answer, Some("served"), "{:?}", host.sent_to(id));
+        host.advance(666_000);
+    }
+}
