--- /dev/null
+++ b/crates/http/src/request/tests.rs
@@ -0,0 +1,263 @@
+//! Tests of `request` that need its private items.
+
+use super::*;
+use crate::rules::{ClassRule, RulesDef};
+use shaletide_balancer::KeyScope;
+use shaletide_routing::{Form, Source};
+
+fn headers(lines: &[(&'static str, &'static str)]) -> HeaderMap {
+    let mut map = HeaderMap::new();
+    for (name, value) in lines {
+        map.append(HeaderName::from_static(name), HeaderValue::from_static(value));
+    }
+    map
+}
+
+fn rules() -> Rules {
+    Rules::new(def())
+}
+
+fn def() -> RulesDef {
+    let class = |name: &str, effect, methods: &[Method]| ClassRule {
+        name: name.into(),
+        effect,
+        methods: methods.to_vec(),
+        deadline: Micros(1_000_000),
+    };
+    RulesDef {
+        form: Form { bay: Some(Source::Path(2)), ..Form::platform() },
+        classes: vec![
+            class("read", Effect::Free, &[Method::GET, Method::HEAD]),
+            class("vote", Effect::Keyed(KeyScope::All, Micros(1)), &[Method::POST]),
+            class("pay", Effect::Unsafe, &[Method::POST]),
+        ],
+        tenants: vec!["north".into()],
+        routes: Vec::new(),
+        zone: "east".into(),
+        max_retry_after: Micros(2_000_000),
+        whole_seconds: true,
+        head_timeout: Micros(1),
+        body_timeout: Micros(1),
+        body_rate: 1,
+        body_grace: Micros(1),
+        held_bodies: 1,
+        max_body: 64 * 1024,
+        record: false,
+        longest_stop: None,
+    }
+}
+
+/// Whatever `Connection` may take out without harm it may name; nothing that counts.
+#[test]
+fn connection_lines_may_not_name_what_must_go_on() {
+    let to_keep = &rules().to_keep;
+    for line in ["close", "keep-alive, x-private", "", " , ,", "te", "x-account-2", "idempotency key"] {
+        assert_eq!(goes_on_whole(&headers(&[("connection", line)]), to_keep), Ok(()), "{line:?}");
+    }
+    for name in [
+        "content-length",
+        "host",
+        "idempotency-key",
+        "x-account",
+        "x-correlation-id",
+        "x-facts",
+        "x-repeat",
+        "x-time-left",
+        "x-weight-hint",
+    ] {
+        let odd = format!("close,\t{} ", name.to_uppercase());
+        for line in [name, &odd] {
+            let mut two = headers(&[("connection", "close")]);
+            two.append("connection", HeaderValue::from_str(line).unwrap());
+            assert_eq!(goes_on_whole(&two, to_keep), Err(Fault::Connection), "{line:?}");
+        }
+    }
+}
+
+#[test]
+fn what_a_request_is_read_by_stands_once_or_not_at_all() {
+    let key = Place::Header(HeaderName::from_static("idempotency-key"));
+    let at = |lines: &[(&'static str, &'static str)], place: &Place| {
+        let mut parts = hyper::Request::builder().uri("/read//k9").body(()).unwrap().into_parts().0;
+        parts.headers = headers(lines);
+        text(place, &parts).map(|text| text.map(String::from))
+    };
+    let name = "idempotency-key";
+    assert_eq!(at(&[(name, "k")], &key), Ok(Some("k".into())));
+    assert_eq!(at(&[], &key), Ok(None));
+    assert_eq!(at(&[(name, "k"), (name, "k")], &key), Err(Fault::Form));
+    assert_eq!(at(&[(name, "")], &key), Ok(Some(String::new())));
+    for (part, found) in [(1, Some("read")), (2, None), (3, Some("k9")), (4, None)] {
+        assert_eq!(at(&[], &Place::Path(part)), Ok(found.map(String::from)));
+    }
+}
+
+#[test]
+fn advice_is_never_less_than_was_meant() {
+    let rules = rules();
+    assert_eq!(rules.advice(Micros(1)), "1");
+    assert_eq!(rules.advice(Micros(1_200_000)), "2");
+    assert_eq!(rules.advice(Micros(9_000_000)), "2", "the longest advice given");
+}
+
+/// Names of classes may have a slash; the longest that a path begins with is meant.
+#[test]
+fn a_class_may_be_named_by_several_parts_of_the_path() {
+    let mut def = def();
+    for (name, effect) in
+        [("read/all", Effect::Free), ("read/all/pay", Effect::Unsafe), ("a//b", Effect::Free)]
+    {
+        def.classes.push(ClassRule { name: name.into(), effect, ..def.classes[0].clone() });
+    }
+    let rules = Rules::new(def);
+    let class = |path: &str| {
+        let parts = hyper::Request::builder().uri(path).body(()).unwrap().into_parts().0;
+        class_of(&rules, &parts).map(|class| rules.classes[class.0].name.clone())
+    };
+    for (path, expected) in [
+        ("/read/all/k", "read/all"),
+        ("/read/all", "read/all"),
+        ("/read/all/", "read/all"),
+        ("/read/all/pay/k", "read/all/pay"),
+        ("/read/all/payment", "read/all"),
+        ("/read/al/k", "read"),
+        ("/read", "read"),
+        ("/a//b/k", "a//b"),
+        ("/read/all/k%201", "read/all"),
+    ] {
+        assert_eq!(class(path), Ok(expected.into()), "{path}");
+    }
+    for path in [
+        "/read%2fall/k",
+        "/read/all%2Fpay/k",
+        "/read/all;x/pay",
+        "/read//all/k",
+        "/read/all//pay",
+        "/read/al%6c/k",
+        "/read/all/%2570ay",
+    ] {
+        assert!(matches!(class(path), Err(Fault::Path | Fault::NoSuchClass)), "{path}: {:?}", class(path));
+    }
+    assert_eq!(class("/all/read"), Err(Fault::NoSuchClass));
+}
+
+#[test]
+fn a_path_is_plain_when_nothing_in_it_leads_elsewhere() {
+    for path in [
+        "/",
+        "/read",
+        "/read/",
+        "/read//k",
+        "/vote/k%201",
+        "/vote/a%2Fb",
+        "/vote/a%2fb.%2Fc",
+        "/read/v1.2..3",
+        "/read/...",
+        "/read/.a",
+        "/read/a.",
+        "/read/a;..",
+        "/read/%",
+        "/read/%2",
+        "/read/%zz",
+        "/read/%2e%2e%2e",
+        "/read/%25",
+        "/read/\u{e9}",
+    ] {
+        assert!(is_plain(path), "{path}");
+    }
+    let dots = [".", "..", "%2e", "%2E", ".%2e", "%2e.", "%2E%2e", "..;", "..;a=b", "..%3b", "%252e%252E"];
+    for dots in dots {
+        for path in [
+            format!("/{dots}"),
+            format!("/{dots}/pay/k"),
+            format!("/read/{dots}"),
+            format!("/read/{dots}/pay"),
+            format!("/read/k/{dots}/x"),
+            format!("/read%2f{dots}%2Fpay"),
+            format!("/read/a%2F{dots}"),
+            format!("/read/{dots}%252fpay"),
+        ] {
+            assert!(!is_plain(&path), "{path}");
+        }
+    }
+    for path in ["//", "//pay", "/%2fpay", "/\\pay", "/read\\k", "/read/a%5cb", "/read/a%5Cb", "/read/%255cb"]
+    {
+        assert!(!is_plain(path), "{path}");
+    }
+}
+
+#[test]
+fn a_host_is_a_name_or_an_address_and_perhaps_a_port() {
+    for host in ["s", "service.internal", "S-1.a_b.", "10.1.0.18:8443", "s:0", "[::1]", "[fd00::1]:80"] {
+        assert!(is_host(host), "{host}");
+    }
+    for host in [
+        "",
+        " ",
+        ".",
+        "a..b",
+        ".a",
+        "a b",
+        "a/b",
+        "a\\b",
+        "user@s",
+        "a,b",
+        "a?b",
+        "a#b",
+        "a%62",
+        "*",
+        "\u{e9}",
+        ":80",
+        "s:",
+        "s:http",
+        "s:+80",
+        "s:-1",
+        "s:65536",
+        "s:80:80",
+        "::1",
+        "[::1",
+        "::1]",
+        "[]",
+        "[s]",
+        "[10.0.0.1]",
+        "[::1]x",
+        "[::1]:",
+        "[::1]:x",
+        "[::1]80",
+        "x[::1]",
+        "[[::1]]",
+        "[::1%25eth0]",
+    ] {
+        assert!(!is_host(host), "{host}");
+    }
+    assert!(is_host(&"a.".repeat(127)) && !is_host(&"a.".repeat(128)));
+}
+
+#[test]
+fn a_target_that_names_a_host_names_the_one_that_host_names() {
+    let check = |target: &str, host: Option<&str>, version: Version| {
+        let mut request = hyper::Request::builder().uri(target).version(version);
+        if let Some(host) = host {
+            request = request.header(HOST, host);
+        }
+        check_target(&request.body(()).unwrap().into_parts().0)
+    };
+    for (target, host, expected) in [
+        ("/read/k", Some("s"), Ok(())),
+        ("http://s/read/k", Some("s"), Ok(())),
+        ("http://S:80/read/k", Some("s"), Ok(())),
+        ("http://s", Some("s:80"), Ok(())),
+        ("http://s:8080/read/k", Some("s"), Err(Fault::Host)),
+        ("http://other/read/k", Some("s"), Err(Fault::Host)),
+        ("http://u@s/read/k", Some("s"), Err(Fault::Host)),
+        ("http://s/read/../pay", Some("s"), Err(Fault::Path)),
+        ("/read/k", None, Err(Fault::Host)),
+        ("http://s/read/k", None, Err(Fault::Host)),
+        ("*", Some("s"), Err(Fault::Target)),
+        ("s:80", Some("s:80"), Err(Fault::Target)),
+    ] {
+        assert_eq!(check(target, host, Version::HTTP_11), expected, "{target} {host:?}");
+    }
+    assert_eq!(check("/read/k", None, Version::HTTP_10), Ok(()));
+    assert_eq!(check("/read/k", Some(""), Version::HTTP_10), Err(Fault::Host));
+}
--- /dev/null
+++ b/crates/net/src/host/tests.rs
@@ -0,0 +1,211 @@
+//! Tests of `host` that need its private items.
+
+use super::*;
+use crate::errand::Run;
+use hyper::rt::Write as _;
+use shaletide_membership::{List, Source};
+
+/// Answers nothing.
+struct Mute;
+
+impl Errand for Mute {
+    fn run(self: Rc<Self>, _: Leg) -> Run {
+        Box::pin(std::future::pending())
+    }
+}
+
+/// Writes a request and waits for ever; what cannot be written has ended.
+struct Says;
+
+impl Errand for Says {
+    fn run(self: Rc<Self>, mut leg: Leg) -> Run {
+        Box::pin(async move {
+            leg.stream.begin_request(0);
+            let mut stream = std::pin::Pin::new(&mut leg.stream);
+            let text = b"GET / HTTP/1.1\r\n\r\n";
+            match std::future::poll_fn(|cx| stream.as_mut().poll_write(cx, text)).await {
+                Ok(_) => std::future::pending().await,
+                Err(_) => Heard::Ended,
+            }
+        })
+    }
+}
+
+const NETWORK: Network = Network {
+    connect_timeout: Micros(1_000_000),
+    idle_timeout: Micros(1_000_000),
+    answer_stall: None,
+    max_body: 64 * 1024,
+    most: 4,
+};
+
+fn pool(name: &str, config: Config) -> PoolSetup {
+    PoolSetup { spec: PoolSpec { name: name.into(), repeats: None, source: Source::Listed }, config }
+}
+
+fn host(pools: &[&str]) -> (Rc<Host>, Vec<PoolId>) {
+    let host = Host::new(Clock::new(), NETWORK);
+    let pools = pools.iter().map(|name| pool(name, Config::example())).collect();
+    let ids = host.setup(Some((&[], &[])), "", 1, NETWORK, pools).unwrap();
+    (host, ids)
+}
+
+fn entries(status: &str, address: &str) -> Vec<Endpoint> {
+    let entry = serde_json::json!({"name": "b", "address": address, "status": status});
+    List { index: 1, snapshot: false, endpoints: vec![entry] }.entries().0
+}
+
+fn order(pools: &[PoolId]) -> Order {
+    let arrival = Arrival {
+        request: RequestId(0),
+        class: ClassId(0),
+        tenant: None,
+        time_left: Micros(60_000_000),
+        work_hint: None,
+        repeat: false,
+        elsewhere: false,
+    };
+    Order { arrival, effect: Effect::Unsafe, pools: pools.into(), permit: false, recorded: false }
+}
+
+/// A backend that drains while its connection comes up is sent nothing, and one that is gone is forgotten.
+#[tokio::test]
+async fn what_drains_or_is_over_before_the_first_byte_is_sent_nothing() {
+    let scope = tokio::task::LocalSet::new();
+    scope
+        .run_until(async {
+            let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+            let at = listener.local_addr().unwrap().to_string();
+            let (host, pools) = host(&["p"]);
+            host.members(pools[0], ListUpdate::Changes, entries("SERVING", &at));
+            let (_, answer) = host.request(order(&pools), Named::default(), Rc::new(Mute)).unwrap();
+            assert_eq!(host.upstreams(), 1, "it comes up");
+            host.members(pools[0], ListUpdate::Changes, entries("DRAINING", &at));
+            assert_eq!(host.upstreams(), 0);
+            host.members(pools[0], ListUpdate::Changes, entries("SERVING", &at));
+            let (left, _) = host.request(order(&pools), Named::default(), Rc::new(Mute)).unwrap();
+            host.client_gone(left);
+            assert_eq!(host.state.borrow().counts.sent, 0);
+            host.members(pools[0], ListUpdate::Changes, entries("DELETED", &at));
+            assert_eq!(host.state.borrow().directory.address(BackendId(0)), None, "forgotten");
+            drop(answer);
+        })
+        .await;
+}
+
+/// Many connections lead to where a box was: its new address is one piece of news all the same, and what was
+/// coming up to the old one goes to the new one once.
+#[tokio::test]
+async fn a_new_address_is_told_once_however_many_connections_lead_to_the_old_one() {
+    let scope = tokio::task::LocalSet::new();
+    scope
+        .run_until(async {
+            let (host, pools) = host(&["p"]);
+            host.members(pools[0], ListUpdate::Changes, entries("SERVING", "127.0.0.1:9"));
+            for _ in 0..3 {
+                let (left, _) = host.request(order(&pools), Named::default(), Rc::new(Mute)).unwrap();
+                host.client_gone(left); // its connection comes up for others
+            }
+            let (_, answer) = host.request(order(&pools), Named::default(), Rc::new(Mute)).unwrap();
+            assert_eq!((host.upstreams(), host.state.borrow().lines.opened), (4, 4));
+            host.members(pools[0], ListUpdate::Changes, entries("SERVING", "127.0.0.2:9"));
+            assert_eq!((host.upstreams(), host.state.borrow().lines.opened), (1, 5));
+            assert!(answer.is_empty(), "it is on its way to the new address");
+        })
+        .await;
+}
+
+/// A backend that ends each connection as it comes up is one that cannot be reached: connecting again and again would
+/// last for as long as the request has time. Here the first has ended before the event loop hears that it is up.
+#[tokio::test]
+async fn a_connection_that_ends_as_it_comes_up_is_not_opened_again_for_the_same_attempt() {
+    let scope = tokio::task::LocalSet::new();
+    scope
+        .run_until(async {
+            let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+            let at = listener.local_addr().unwrap().to_string();
+            let (host, pools) = host(&["p"]);
+            host.members(pools[0], ListUpdate::Changes, entries("SERVING", &at));
+            let (_, answer) = host.request(order(&pools), Named::default(), Rc::new(Says)).unwrap();
+            tokio::task::yield_now().await; // the kernel is asked to connect
+            drop(listener.accept().unwrap());
+            let begun = std::time::Instant::now();
+            while host.state.borrow().counts.unfit == 0 {
+                assert!(begun.elapsed().as_secs() < 20, "it is not found out");
+                tokio::time::sleep(Duration::from_millis(1)).await;
+            }
+            let opened = host.state.borrow().lines.opened;
+            assert_eq!((opened, host.upstreams()), (1, 0), "none is opened in its place");
+            assert!(matches!(answer.await.unwrap().decision, Decision::Refused(_)));
+        })
+        .await;
+}
+
+/// Rounds of decisions that take longer than their tick leave room for all else.
+#[tokio::test]
+async fn timers_that_are_always_due_do_not_hold_the_event_loop() {
+    let scope = tokio::task::LocalSet::new();
+    scope
+        .run_until(async {
+            let (host, pools) = host(&["p"]);
+            let hasty = pool("p", Config { tick: Micros(1), ..Config::example() });
+            host.setup(None, "", 1, NETWORK, vec![hasty]).unwrap();
+            let (id, held) = host.request(order(&pools), Named::default(), Rc::new(Mute)).unwrap();
+            let timers = tokio::task::spawn_local(host.clone().timers());
+            let start = std::time::Instant::now();
+            for _ in 0..20 {
+                tokio::time::sleep(Duration::from_millis(1)).await;
+            }
+            assert!(start.elapsed().as_millis() < 300, "{:?}", start.elapsed());
+            host.client_gone(id);
+            drop(held);
+            timers.abort();
+        })
+        .await;
+}
+
+/// Connections are kept for what may be sent requests, whichever news told of it; and news of one pool costs
+/// nothing for the boxes of the others.
+#[tokio::test]
+async fn connections_follow_the_lists_and_news_costs_what_it_brings() {
+    let (host, pools) = host(&["p", "q"]);
+    let many = |from: u32, to: u32| -> Vec<Endpoint> {
+        let entry = |n: u32| serde_json::json!({"name": format!("{n:05}"), "address": "127.0.0.1:9", "status": "SERVING"});
+        List { index: 1, snapshot: true, endpoints: (from..to).map(entry).collect() }.entries().0
+    };
+    host.members(pools[0], ListUpdate::Full, many(0, 30_000));
+    let start = std::time::Instant::now();
+    (0..300).for_each(|_| host.members(pools[1], ListUpdate::Changes, Vec::new()));
+    assert!(start.elapsed().as_millis() < 800, "{:?}", start.elapsed());
+    let served =
+        |ids: [u32; 3]| ids.map(|id| host.state.borrow().engine.state(BackendId(id)) == BackendState::Ready);
+    assert_eq!(served([0, 29_999, 30_000]), [true, true, false]);
+    host.members(pools[0], ListUpdate::Full, many(1, 3));
+    assert_eq!(served([0, 1, 29_999]), [false, true, false], "what is absent is gone");
+    let drains = Endpoint { state: BackendState::Draining, ..many(1, 2).remove(0) };
+    host.members(pools[0], ListUpdate::Changes, vec![drains]);
+    assert_eq!(served([0, 1, 2]), [false, false, true]);
+}
+
+/// A request whose pool is taken away while it is held gets its answer at once, or goes where a pool is left.
+#[tokio::test]
+async fn what_a_pool_holds_is_answered_when_it_closes() {
+    let scope = tokio::task::LocalSet::new();
+    scope
+        .run_until(async {
+            let (host, pools) = host(&["p", "q"]);
+            let (_, held) = host.request(order(&pools[..1]), Named::default(), Rc::new(Mute)).unwrap();
+            let (_, moves) = host.request(order(&pools), Named::default(), Rc::new(Mute)).unwrap();
+            let q = pool("q", Config::example());
+            assert_eq!(host.setup(None, "", 1, NETWORK, vec![q]).unwrap(), pools[1..]);
+            assert!(matches!(held.await.unwrap().decision, Decision::Refused(_)));
+            host.members(pools[1], ListUpdate::Full, entries("SERVING", "127.0.0.1:9"));
+            let timers = tokio::task::spawn_local(host.clone().timers());
+            while host.state.borrow().lines.opened == 0 {
+                tokio::time::sleep(Duration::from_millis(1)).await;
+            }
+            timers.abort();
+            drop(moves);
+        })
+        .await;
+}
--- /dev/null
+++ b/crates/net/src/stream/tests.rs
@@ -0,0 +1,145 @@
+//! Tests of `stream` that need its private items.
+
+use super::*;
+use std::io::{Read as _, Write as _};
+
+async fn pair() -> (Stream, std::net::TcpStream) {
+    let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+    let tcp = TcpStream::connect(listener.local_addr().unwrap()).await.unwrap();
+    (Stream::new(tcp), listener.accept().unwrap().0)
+}
+
+async fn write(stream: &mut Stream, bytes: &[u8]) {
+    let mut left = bytes;
+    while !left.is_empty() {
+        let n = std::future::poll_fn(|cx| Pin::new(&mut *stream).poll_write(cx, left)).await.unwrap();
+        left = &left[n..];
+    }
+}
+
+/// Before the last byte a request has not run, from it on it may have: one byte decides.
+#[tokio::test]
+async fn a_request_counts_as_written_with_its_last_byte() {
+    let (mut stream, mut peer) = pair().await;
+    for parts in [["POST / HTTP/1.1\r\nA: 1\r", "\n\r\nbod", "y"], ["GET / HTTP/1.1\r\n", "\r\nbo", "dy"]] {
+        stream.begin_request(4);
+        for part in parts {
+            assert!(!stream.request_written(), "before {part:?}");
+            write(&mut stream, part.as_bytes()).await;
+        }
+        assert!(stream.request_written());
+        peer.read_exact(&mut vec![0; parts.concat().len()]).unwrap();
+    }
+    stream.begin_request(0);
+    write(&mut stream, b"GET / HTTP/1.1\r\n\r").await;
+    assert!(!stream.request_written());
+    write(&mut stream, b"\n").await;
+    assert!(stream.request_written());
+}
+
+/// The box reads half of it, and the rest only when its time is over: the last byte never comes.
+#[tokio::test]
+async fn a_request_that_is_not_whole_when_its_time_is_over_never_gets_its_last_byte() {
+    for late in [false, true] {
+        let (mut stream, mut peer) = pair().await;
+        let whole = vec![b'x'; 64 << 20]; // more than the kernel holds
+        stream.begin_request(whole.len());
+        stream.write_until(Some(Instant::now() + std::time::Duration::from_secs(600)));
+        write(&mut stream, b"POST / HTTP/1.1\r\n\r\n").await;
+        let mut sent = 0;
+        let mut cx = Context::from_waker(Waker::noop());
+        while let Poll::Ready(n) = Pin::new(&mut stream).poll_write(&mut cx, &whole[sent..]) {
+            sent += n.unwrap();
+        }
+        assert!(!stream.untouched() && !stream.overdue());
+        stream.write_until(late.then(Instant::now));
+        let reads = std::thread::spawn(move || std::io::copy(&mut peer, &mut std::io::sink()).unwrap());
+        let mut failed = None;
+        while sent < whole.len() && failed.is_none() {
+            let left = &whole[sent..];
+            match std::future::poll_fn(|cx| Pin::new(&mut stream).poll_write(cx, left)).await {
+                Ok(n) => sent += n,
+                Err(e) => failed = Some(e.kind()),
+            }
+        }
+        assert_eq!(failed, late.then_some(io::ErrorKind::TimedOut));
+        assert_eq!(stream.request_written(), !late);
+        drop(stream);
+        assert_eq!(reads.join().unwrap(), 19 + sent as u64, "what it has is what was written");
+    }
+}
+
+/// Wherever the reads fall, the bytes behind the head are counted, and no other.
+#[test]
+fn a_head_ends_with_its_first_empty_line_whatever_ends_lines() {
+    let heads = [
+        "GET / HTTP/1.1\r\nA: 1\r\n\r\n",
+        "GET / HTTP/1.1\nA: 1\n\n",
+        "GET / HTTP/1.1\nA: 1\n\r\n",
+        "GET / HTTP/1.1\r\nA: 1\r\n\n",
+        "GET / HTTP/1.1\r\n\r\n",
+        "\r\n\n\r\n\r\nGET / HTTP/1.1\n\n",
+    ];
+    for head in heads {
+        for behind in ["", "b", "\n", "\r\n\r\n", "body\n\nGET / HTTP/1.1\n\n"] {
+            let all = format!("{head}{behind}");
+            let (one, end) = (Cell::new(Head::Before), head.len());
+            for (at, byte) in all.bytes().enumerate() {
+                assert_eq!(behind_head(&one, &[byte]), usize::from(at >= end), "{at} of {all:?}");
+                assert_eq!(one.get() == Head::Whole, at + 1 >= end, "{at} of {all:?}");
+            }
+            for cut in 0..=all.len() {
+                let (state, (a, b)) = (Cell::new(Head::Before), all.as_bytes().split_at(cut));
+                let counted = [a, b].map(|part| behind_head(&state, part));
+                assert_eq!(counted.iter().sum::<usize>(), behind.len(), "cut at {cut} of {all:?}");
+            }
+        }
+    }
+    for open in ["\r\n\r\n", "\n\n", "GET / HTTP/1.1\r\nA: 1\r\n\r", "A\r\r\n", "A\n\r\r", "A\n \n"] {
+        let state = Cell::new(Head::Before);
+        assert_eq!(behind_head(&state, open.as_bytes()), 0, "{open:?}");
+        assert_ne!(state.get(), Head::Whole, "{open:?}");
+    }
+}
+
+/// However the reads fall, and however many there are of them.
+#[tokio::test]
+async fn answers_of_status_1xx_are_no_beginning_of_the_one_that_follows() {
+    let early = "HTTP/1.1 103 Early Hints\r\nLink: </x>\r\n\r\n";
+    let whole = "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ncash";
+    for head in ["", early, "HTTP/1.0 100 X\n\n", "\r\nHTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 199\r\n\r\n"] {
+        let all = format!("{head}{whole}");
+        let heads = head.matches(" 1").count() as u64;
+        for cut in 0..=all.len() {
+            let (stream, _peer) = pair().await;
+            stream.read(&all.as_bytes()[..cut]);
+            assert_eq!(stream.informed() == heads, cut >= head.len(), "{cut} of {all:?}");
+            assert_eq!(
+                stream.final_begun() && stream.informed() == heads,
+                cut > head.len(),
+                "{cut} of {all:?}"
+            );
+            stream.read(&all.as_bytes()[cut..]);
+            assert_eq!((stream.informed(), stream.0.behind.get()), (heads, 4), "{cut} of {all:?}");
+            stream.mark_idle();
+            assert!(!stream.final_begun());
+        }
+    }
+    for other in ["HTTP/1.1 200 OK\r\n\r\n", "POST /1.1 100 HTTP/1.1\r\n\r\n", "HTTP/1.1  100 X\r\n\r\n"] {
+        let (stream, _peer) = pair().await;
+        stream.read(other.as_bytes());
+        assert_eq!((stream.informed(), stream.final_begun()), (0, true), "{other:?}");
+    }
+}
+
+/// The kernel is asked, not the event loop, which has had no chance to hear of it here.
+#[tokio::test]
+async fn what_the_other_side_does_is_seen_at_once() {
+    let (stream, mut peer) = pair().await;
+    assert!(!stream.stirred());
+    peer.write_all(b"x").unwrap();
+    assert!(stream.stirred());
+    let (stream, peer) = pair().await;
+    drop(peer);
+    assert!(stream.stirred());
+}
