Check the client's socket before an attempt's first byte is written

Cause: whether a client was still there was known from the event loop alone. A request whose client had closed between the loop's wait and the turn that read it was taken and sent ("node n1 sent request on 1.20 s after its client had gone"). The lines: Server::proxy took a request after the look at bytes behind it, Host::send wrote it; both heard of the end only through the loop.

Change: one place decides for all ways, the first byte's write: Stream asks the client's socket then (PeerWatch, which holds no connection open), first or further attempt, at once or held, over an idle or a late connection. The host reports such an attempt as the client's leaving, so that no backend is blamed. Host::request asks once more before anything is decided, which saves the decision and the connection. A client that ends its sending alone counts as gone: the platform's protocol knows no half-closed client. Bytes before the end hide it from a peek; poll's POLLRDHUP tells it there.

--- a/crates/http/src/errand.rs
+++ b/crates/http/src/errand.rs
@@ -7,7 +7,7 @@
 use hyper::header::{HeaderName, HeaderValue, CONNECTION, CONTENT_LENGTH, HOST, TRANSFER_ENCODING};
 use hyper::{HeaderMap, Method, Request, StatusCode, Uri, Version};
 use shaletide_balancer::{AttemptNo, LoadReport};
-use shaletide_net::{driven, strip_hop_by_hop, Errand, Heard, Leg, Run, Stream};
+use shaletide_net::{driven, strip_hop_by_hop, Errand, Heard, Leg, PeerWatch, Run, Stream};
 use shaletide_routing::{Answers, Errors, LastAnswer, Verdict};
 use std::cell::RefCell;
 use std::net::SocketAddr;
@@ -27,6 +27,8 @@
     pub headers: HeaderMap,
     /// Its whole body.
     pub body: Bytes,
+    /// Its client's connection, on which nothing else is asked meanwhile.
+    pub client: Option<PeerWatch>,
     /// The header that tells a backend how long the proxy will wait, in seconds.
     pub time_left: HeaderName,
     /// What an answer means, by the request's route.
@@ -57,6 +59,10 @@
 }
 
 impl Errand for Call {
+    fn client(&self) -> Option<&PeerWatch> {
+        self.client.as_ref()
+    }
+
     fn run(self: Rc<Self>, leg: Leg) -> Run {
         Box::pin(async move {
             let request = prepared(&self, leg.to, leg.left);
--- a/crates/http/src/request.rs
+++ b/crates/http/src/request.rs
@@ -49,6 +49,8 @@
     Body,
     /// The body did not come in time.
     Slow,
+    /// Its client has closed the connection, or its sending on it, before it was taken.
+    ClientClosed,
     /// There is no path in the target.
     Target,
     /// `Connection` names what has to go on.
@@ -84,6 +86,7 @@
             }
             Fault::Body => "the body is malformed",
             Fault::Slow => "the body did not come in time, or too slowly, or others had need of its place",
+            Fault::ClientClosed => "the connection was closed before the request was taken",
             Fault::Target => "the target has no path",
             Fault::Connection => "Connection names a header that must go on to the backend",
             Fault::Path => "the path has dot segments, backslashes, no first part or a class in disguise",
--- a/crates/http/src/server.rs
+++ b/crates/http/src/server.rs
@@ -15,7 +15,7 @@
 use shaletide_admission::{Bodies, BodyId};
 use shaletide_balancer::*;
 use shaletide_engine::Order;
-use shaletide_net::{span, strip_hop_by_hop, Answer, Host, Named, Stream};
+use shaletide_net::{span, strip_hop_by_hop, Answer, Host, Named, NotTaken, Stream};
 use shaletide_record::{Conflict, Verdict};
 use shaletide_routing::{gets, Decision, Gets};
 use std::cell::{Cell, RefCell};
@@ -564,6 +564,7 @@
             uri,
             headers,
             body,
+            client: Some(client.stream.watch()),
             time_left: rules.time_left.clone(),
             answers: to.answers.clone(),
             got: RefCell::default(),
@@ -579,7 +580,8 @@
         };
         let (id, answer) = match self.host.request(order, named, call.clone()) {
             Ok(taken) => taken,
-            Err(verdict) => return not_let_go(rules, verdict),
+            Err(NotTaken::Record(verdict)) => return not_let_go(rules, verdict),
+            Err(NotTaken::ClientClosed) => return Err(Fault::ClientClosed),
         };
         let mut owed = Owed { host: &self.host, id, open: true };
         let answer = tokio::select! {
--- a/crates/net/src/errand.rs
+++ b/crates/net/src/errand.rs
@@ -1,6 +1,6 @@
 //! What a front brings: how its request is sent to a backend in its protocol, and what comes back.
 
-use crate::stream::Stream;
+use crate::stream::{PeerWatch, Stream};
 use shaletide_base::{AttemptNo, LoadReport};
 use shaletide_routing::Verdict;
 use std::future::Future;
@@ -50,6 +50,9 @@
 
 /// A request that a front keeps while the host sends it.
 pub trait Errand {
+    /// The client's connection, where the request has one to itself: no attempt begins once the client has closed it.
+    fn client(&self) -> Option<&PeerWatch>;
+
     /// Writes the request once and reads its answer. [`Stream::begin_request`] has to be told before the first byte,
     /// so that the host knows when the last one is out.
     fn run(self: Rc<Self>, leg: Leg) -> Run;
--- a/crates/net/src/host.rs
+++ b/crates/net/src/host.rs
@@ -4,7 +4,7 @@
 use crate::errand::{Errand, Heard, Leg};
 use crate::lines::{Line, Lines};
 use crate::recording::{Named, Recording};
-use crate::stream::Stream;
+use crate::stream::{PeerWatch, Stream};
 use crate::{span, Clock};
 use shaletide_balancer::*;
 use shaletide_engine::monitor::{Monitor, Rules};
@@ -67,6 +67,15 @@
     pub conflict: Option<KeyConflict>,
 }
 
+/// Why a request is not taken.
+#[derive(Clone, Debug, PartialEq)]
+pub enum NotTaken {
+    /// The record does not let its key go.
+    Record(Verdict),
+    /// Its client has closed its connection.
+    ClientClosed,
+}
+
 /// A pool as it is to be.
 #[derive(Clone, Debug)]
 pub struct PoolSetup {
@@ -263,10 +272,15 @@
     /// Takes a request; `order.arrival.request`, `permit` and `recorded` are given here.
     ///
     /// # Errors
-    /// Why the record does not let it go. Nothing is owed then.
+    /// Why it is not taken. Nothing is owed then.
     pub fn request(
         self: &Rc<Self>, mut order: Order, named: Named<'_>, errand: Rc<dyn Errand>,
-    ) -> Result<(RequestId, oneshot::Receiver<Answer>), Verdict> {
+    ) -> Result<(RequestId, oneshot::Receiver<Answer>), NotTaken> {
+        // Each attempt asks again: a request that need not be taken costs no decision and no connection.
+        if errand.client().is_some_and(PeerWatch::closed) {
+            self.state.borrow_mut().counts.gone += 1;
+            return Err(NotTaken::ClientClosed);
+        }
         let now = self.clock.now();
         let (id, record) = {
             let mut s = self.state.borrow_mut();
@@ -280,7 +294,7 @@
             match record.filter(|record| record.records(class)).map(|record| record.ask(now, &asked)) {
                 None => None,
                 Some(Verdict::Go { permit }) => Some(permit),
-                Some(verdict) => return Err(verdict),
+                Some(verdict) => return Err(NotTaken::Record(verdict)),
             };
         let (answer, wait) = oneshot::channel();
         let open = Open { errand, answer, recorded, conflict: None };
@@ -361,6 +375,11 @@
         }
     }
 
+    /// Its answer is still awaited.
+    fn is_open(&self, request: RequestId) -> bool {
+        self.state.borrow().open.contains_key(&request)
+    }
+
     /// The client left before its answer.
     pub fn client_gone(self: &Rc<Self>, id: RequestId) {
         let recorded = {
@@ -602,15 +621,20 @@
         let leg = Leg { attempt, stream: stream.clone(), to: line.to, left: span(left), stall, max_body };
         stream.begin_nothing(); // until the errand says what it writes, nothing is written
         stream.write_until(by.map(|by| self.clock.instant(by).into_std()));
+        stream.write_for(open.errand.client().cloned());
         let (host, run) = (self.clone(), open.errand.clone().run(leg));
         let task = tokio::task::spawn_local(async move {
             let heard = run.await;
-            host.heard(conn, heard, &stream, fresh);
+            host.heard(conn, request, heard, &stream, fresh);
         });
         (line.task, line.busy) = (Some(task.abort_handle()), true);
     }
 
-    fn heard(self: &Rc<Self>, conn: ConnId, heard: Heard, stream: &Stream, fresh: bool) {
+    fn heard(self: &Rc<Self>, conn: ConnId, request: RequestId, heard: Heard, stream: &Stream, fresh: bool) {
+        let ended = matches!(heard, Heard::Spoilt | Heard::Ended);
+        if ended && stream.untouched() && stream.client_closed() && self.is_open(request) {
+            return self.client_gone(request); // the connection is closed with it, and its backend not blamed
+        }
         let written = stream.request_written();
         let event = {
             let mut s = self.state.borrow_mut();
--- a/crates/net/src/host/tests.rs
+++ b/crates/net/src/host/tests.rs
@@ -1,5 +1,7 @@
 //! Tests of `host` that need its private items.
 
+mod client_gone;
+
 use super::*;
 use crate::errand::Run;
 use hyper::rt::Write as _;
@@ -9,6 +11,9 @@
 struct Mute;
 
 impl Errand for Mute {
+    fn client(&self) -> Option<&PeerWatch> {
+        None
+    }
     fn run(self: Rc<Self>, _: Leg) -> Run {
         Box::pin(std::future::pending())
     }
@@ -18,6 +23,9 @@
 struct Says;
 
 impl Errand for Says {
+    fn client(&self) -> Option<&PeerWatch> {
+        None
+    }
     fn run(self: Rc<Self>, mut leg: Leg) -> Run {
         Box::pin(async move {
             leg.stream.begin_request(0);
--- /dev/null
+++ b/crates/net/src/host/tests/client_gone.rs
@@ -0,0 +1,282 @@
+//! Clients that close their connection before an attempt begins. The end stands in the kernel and the event loop has
+//! not been polled since, so that only the socket itself can tell.
+
+use super::*;
+use shaletide_routing::Verdict;
+use std::io::{Read as _, Write as _};
+use std::net::{TcpListener, TcpStream as StdStream};
+
+/// How a client ends its connection.
+#[derive(Clone, Copy, Debug)]
+enum End {
+    Close,
+    Reset,
+    /// The platform's protocol knows no client that ends its sending and still wants an answer.
+    HalfClose,
+    /// Bytes stand before the end, which hide it from a read.
+    CloseBehindBytes,
+}
+
+const ENDS: [End; 4] = [End::Close, End::Reset, End::HalfClose, End::CloseBehindBytes];
+
+/// A client's connection as the proxy has it, and the client's side.
+struct Client {
+    accepted: Stream,
+    socket: StdStream,
+}
+
+impl Client {
+    fn connect() -> Client {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let socket = StdStream::connect(listener.local_addr().unwrap()).unwrap();
+        let accepted = listener.accept().unwrap().0;
+        accepted.set_nonblocking(true).unwrap();
+        Client { accepted: Stream::new(TcpStream::from_std(accepted).unwrap()), socket }
+    }
+
+    /// Returns what must stay open for as long as the end is to look like this one.
+    fn end(mut self, end: End) -> Option<StdStream> {
+        match end {
+            End::Close => None,
+            End::Reset => {
+                socket2::SockRef::from(&self.socket).set_linger(Some(Duration::ZERO)).unwrap();
+                None
+            }
+            End::HalfClose => {
+                self.socket.shutdown(std::net::Shutdown::Write).unwrap();
+                Some(self.socket)
+            }
+            End::CloseBehindBytes => {
+                self.socket.write_all(b"\r\n").unwrap();
+                None
+            }
+        }
+    }
+}
+
+/// A request that gets the same answer at each attempt.
+struct Request {
+    client: PeerWatch,
+    verdict: Verdict,
+    /// The client that ends its connection in this way in the moment in which the first attempt is answered.
+    ends: RefCell<Option<(Client, End)>>,
+    written: Cell<u32>,
+}
+
+impl Request {
+    fn new(client: &Client, verdict: Verdict) -> Request {
+        let client = client.accepted.watch();
+        Request { client, verdict, ends: RefCell::default(), written: Cell::default() }
+    }
+}
+
+impl Errand for Request {
+    fn client(&self) -> Option<&PeerWatch> {
+        Some(&self.client)
+    }
+
+    fn run(self: Rc<Self>, mut leg: Leg) -> Run {
+        Box::pin(async move {
+            leg.stream.begin_request(0);
+            let mut stream = std::pin::Pin::new(&mut leg.stream);
+            let text = b"GET / HTTP/1.1\r\n\r\n";
+            match std::future::poll_fn(|cx| stream.as_mut().poll_write(cx, text)).await {
+                Ok(_) => {
+                    self.written.set(self.written.get() + 1);
+                    let ends = self.ends.take();
+                    std::mem::forget(ends.and_then(|(client, end)| client.end(end)));
+                    Heard::Answered { verdict: self.verdict, keep: true, behind: false, report: None }
+                }
+                Err(_) => Heard::Ended,
+            }
+        })
+    }
+}
+
+/// A host of one pool, a client, and a backend's listener.
+struct Setup {
+    host: Rc<Host>,
+    pools: Vec<PoolId>,
+    client: Client,
+    backend: TcpListener,
+}
+
+impl Setup {
+    fn new() -> Setup {
+        let (host, pools) = host(&["p"]);
+        // The only proxy has the whole budget of retries to itself.
+        let only = pool("p", Config { proxies: 1, ..Config::example() });
+        host.setup(None, "", 1, NETWORK, vec![only]).unwrap();
+        let backend = TcpListener::bind("127.0.0.1:0").unwrap();
+        backend.set_nonblocking(true).unwrap();
+        Setup { host, pools, client: Client::connect(), backend }
+    }
+
+    /// Under each of these names.
+    fn list_backends(&self, names: &[&str]) {
+        let at = self.backend.local_addr().unwrap().to_string();
+        let entry = |name: &&str| serde_json::json!({"name": name, "address": at, "status": "SERVING"});
+        let list = List { index: 1, snapshot: false, endpoints: names.iter().map(entry).collect() };
+        self.host.members(self.pools[0], ListUpdate::Changes, list.entries().0);
+    }
+
+    /// Requests that are served pay for retries.
+    async fn earn_retries(&self) {
+        for _ in 0..30 {
+            let request = Rc::new(Request::new(&self.client, Verdict::Served));
+            let (_, answer) = self.host.request(order(&self.pools), Named::default(), request).unwrap();
+            assert_eq!(answer.await.unwrap().decision, Decision::Served);
+        }
+    }
+
+    fn request(&self) -> Result<(RequestId, oneshot::Receiver<Answer>), NotTaken> {
+        let request = Request::new(&self.client, Verdict::NeverRan);
+        self.host.request(order(&self.pools), Named::default(), Rc::new(request))
+    }
+}
+
+/// Lets the event loop come round until nothing more is to be done.
+async fn settle() {
+    for _ in 0..50 {
+        tokio::time::sleep(Duration::from_millis(1)).await;
+    }
+}
+
+/// All bytes that came to the backend on any connection, each of which has been closed or is quiet by now.
+fn received(backend: &TcpListener) -> usize {
+    let mut count = 0;
+    while let Ok((mut connection, _)) = backend.accept() {
+        connection.set_nonblocking(true).unwrap();
+        let mut bytes = [0; 1024];
+        while let Ok(n @ 1..) = connection.read(&mut bytes) {
+            count += n;
+        }
+    }
+    count
+}
+
+/// Nothing of the request is left in the engine or the host, and nothing was written to the backend.
+fn assert_forgotten(host: &Host, backend: &TcpListener, case: &str) {
+    assert_eq!(received(backend), 0, "{case}: written to the backend");
+    let state = host.state.borrow();
+    assert!(state.open.is_empty(), "{case}: still awaited");
+    assert!(state.engine.requests().is_empty(), "{case}: still in the engine");
+}
+
+async fn run(case: impl AsyncFn(End)) {
+    let scope = tokio::task::LocalSet::new();
+    scope
+        .run_until(async {
+            for end in ENDS {
+                case(end).await;
+            }
+        })
+        .await;
+}
+
+/// Request and end were both in the accept queue, or the end came after the head was read.
+#[tokio::test]
+async fn request_is_not_taken_after_its_client_closed() {
+    run(async |end| {
+        let setup = Setup::new();
+        setup.list_backends(&["b"]);
+        let request = Request::new(&setup.client, Verdict::NeverRan);
+        let _open = setup.client.end(end);
+        let taken = setup.host.request(order(&setup.pools), Named::default(), Rc::new(request));
+        assert_eq!(taken.map(|_| ()), Err(NotTaken::ClientClosed), "{end:?}");
+        settle().await;
+        assert_forgotten(&setup.host, &setup.backend, &format!("{end:?}"));
+    })
+    .await;
+}
+
+/// The connection to the backend is coming up when the client closes; the loop hears of both in the same turn.
+#[tokio::test]
+async fn attempt_does_not_begin_on_a_late_connection_after_its_client_closed() {
+    run(async |end| {
+        let setup = Setup::new();
+        setup.list_backends(&["b"]);
+        let (_, answer) = setup.request().unwrap();
+        assert_eq!(setup.host.upstreams(), 1, "it comes up");
+        let accepted = setup.client.accepted.clone();
+        let _open = setup.client.end(end);
+        settle().await;
+        assert_forgotten(&setup.host, &setup.backend, &format!("{end:?}"));
+        drop((accepted, answer));
+    })
+    .await;
+}
+
+/// An idle connection is at hand: the attempt is decided on while the client is there, and its first byte is due after
+/// the client closed.
+#[tokio::test]
+async fn first_byte_is_not_written_on_an_idle_connection_after_its_client_closed() {
+    run(async |end| {
+        let setup = Setup::new();
+        setup.list_backends(&["b"]);
+        let (warms_up, answer) = setup.request().unwrap();
+        setup.host.client_gone(warms_up); // the connection comes up for others
+        drop(answer);
+        settle().await;
+        let (_, answer) = setup.request().unwrap();
+        assert_eq!(setup.host.state.borrow().counts.sent, 1, "decided on");
+        let accepted = setup.client.accepted.clone();
+        let _open = setup.client.end(end);
+        settle().await;
+        assert_forgotten(&setup.host, &setup.backend, &format!("{end:?}"));
+        drop((accepted, answer));
+    })
+    .await;
+}
+
+/// Held while there is no backend; the list that brings one is handled before the loop hears of the close.
+#[tokio::test]
+async fn held_request_is_not_sent_after_its_client_closed() {
+    run(async |end| {
+        let setup = Setup::new();
+        let (_, answer) = setup.request().unwrap();
+        let timers = tokio::task::spawn_local(setup.host.clone().timers());
+        let (accepted, backend) = (setup.client.accepted.clone(), setup.backend.local_addr().unwrap());
+        let _open = setup.client.end(end);
+        setup.host.members(setup.pools[0], ListUpdate::Changes, entries("SERVING", &backend.to_string()));
+        settle().await;
+        assert_forgotten(&setup.host, &setup.backend, &format!("{end:?}"));
+        timers.abort();
+        drop((accepted, answer));
+    })
+    .await;
+}
+
+/// The first attempt is turned away unprocessed, and the client closes in that moment. One that stays gets another.
+#[tokio::test]
+async fn further_attempt_does_not_begin_after_its_client_closed() {
+    run(async |end| {
+        for closes in [false, true] {
+            let setup = Setup::new();
+            setup.list_backends(&["b", "c"]); // a further attempt goes to another one
+            let timers = tokio::task::spawn_local(setup.host.clone().timers());
+            setup.earn_retries().await;
+            let request = Rc::new(Request::new(&setup.client, Verdict::NeverRan));
+            let accepted = setup.client.accepted.clone();
+            let stays = match closes {
+                true => {
+                    request.ends.replace(Some((setup.client, end)));
+                    None
+                }
+                false => Some(setup.client),
+            };
+            let (id, answer) =
+                setup.host.request(order(&setup.pools), Named::default(), request.clone()).unwrap();
+            while request.written.get() < if closes { 1 } else { 2 } {
+                tokio::time::sleep(Duration::from_millis(1)).await;
+            }
+            settle().await;
+            assert!(!closes || request.written.get() == 1, "{end:?}: sent {} times", request.written.get());
+            setup.host.client_gone(id);
+            assert!(setup.host.state.borrow().engine.requests().is_empty(), "{end:?}: still in the engine");
+            timers.abort();
+            drop((accepted, answer, stays));
+        }
+    })
+    .await;
+}
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -11,9 +11,9 @@
 
 pub use driven::{driven, BoxError};
 pub use errand::{Errand, Heard, Leg, Run};
-pub use host::{Answer, Host, Network, PoolSetup};
+pub use host::{Answer, Host, Network, NotTaken, PoolSetup};
 pub use recording::{Named, Recording};
-pub use stream::Stream;
+pub use stream::{PeerWatch, Stream};
 
 use shaletide_balancer::Time;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
--- a/crates/net/src/stream.rs
+++ b/crates/net/src/stream.rs
@@ -2,10 +2,11 @@
 //! and whether the other side has closed or sent anything.
 
 use hyper::rt::{Read, ReadBufCursor, Write};
+use rustix::event::{PollFd, PollFlags, Timespec};
 use std::cell::{Cell, RefCell};
 use std::io;
 use std::pin::Pin;
-use std::rc::Rc;
+use std::rc::{Rc, Weak};
 use std::task::{ready, Context, Poll, Waker};
 use std::time::Instant;
 use tokio::io::{AsyncRead, ReadBuf};
@@ -78,6 +79,17 @@
 #[derive(Clone)]
 pub struct Stream(Rc<Inner>);
 
+/// The other side of a connection, looked at without keeping that open.
+#[derive(Clone)]
+pub struct PeerWatch(Weak<Inner>);
+
+impl PeerWatch {
+    /// The connection has ended, or its other side has closed it by what the kernel has at this moment.
+    pub fn closed(&self) -> bool {
+        self.0.upgrade().is_none_or(|inner| Stream(inner).peer_closed())
+    }
+}
+
 struct Inner {
     /// Borrowed for the time of one call only.
     tcp: RefCell<TcpStream>,
@@ -91,6 +103,8 @@
     begun: Cell<u64>,
     /// Not a byte of it is written from then on.
     until: Cell<Option<Instant>>,
+    /// The connection of the client for whom it is sent.
+    client: RefCell<Option<PeerWatch>>,
     /// Bytes came before the last byte of the present request had gone out.
     early: Cell<bool>,
     /// The same of what was read since `mark_idle`, and the bytes that came behind the head.
@@ -120,13 +134,14 @@
         let final_begun = Cell::new(false);
         let (reads, more, full) = (Cell::new(0), Notify::new(), Cell::new(false));
         let (untouched, begun, early) = (Cell::new(false), Cell::new(0), Cell::new(false));
-        let (tcp, until) = (RefCell::new(tcp), Cell::new(None));
+        let (tcp, until, client) = (RefCell::new(tcp), Cell::new(None), RefCell::new(None));
         Stream(Rc::new(Inner {
             tcp,
             out,
             body_left,
             untouched,
             until,
+            client,
             begun,
             early,
             came,
@@ -141,6 +156,11 @@
         }))
     }
 
+    /// Its other side, to be asked later whether it is still there.
+    pub fn watch(&self) -> PeerWatch {
+        PeerWatch(Rc::downgrade(&self.0))
+    }
+
     /// Nothing of a new request is written yet, however long it will be.
     pub fn begin_nothing(&self) {
         self.0.out.set(Head::Before);
@@ -163,6 +183,16 @@
         self.0.until.set(until);
     }
 
+    /// Not a byte is written any more once that client has closed its connection, as long as none has been.
+    pub fn write_for(&self, client: Option<PeerWatch>) {
+        self.0.client.replace(client);
+    }
+
+    /// The client for whom the request is written has closed its connection.
+    pub fn client_closed(&self) -> bool {
+        self.0.client.borrow().as_ref().is_some_and(PeerWatch::closed)
+    }
+
     /// That time has come.
     pub fn overdue(&self) -> bool {
         self.0.until.get().is_some_and(|until| Instant::now() >= until)
@@ -320,6 +350,25 @@
         self.0.heard.get() || told.is_ready() && self.stirred()
     }
 
+    /// The other side has closed its connection, or its sending on it, or has reset it, by what the kernel has at this
+    /// moment. A client that ends its sending counts as gone, as the platform's protocol has it.
+    pub fn peer_closed(&self) -> bool {
+        match self.peek() {
+            Ok(0) => true,
+            Ok(_) => self.closed_behind_bytes(),
+            Err(e) => e.kind() != io::ErrorKind::WouldBlock,
+        }
+    }
+
+    /// The same where bytes are unread, which hide the end behind them from a read.
+    fn closed_behind_bytes(&self) -> bool {
+        let tcp = self.0.tcp.borrow();
+        let mut polled = [PollFd::new(&*tcp, PollFlags::RDHUP)];
+        let asked = rustix::event::poll(&mut polled, Some(&Timespec::default()));
+        let closed = PollFlags::RDHUP | PollFlags::HUP | PollFlags::ERR;
+        asked.is_ok() && polled[0].revents().intersects(closed)
+    }
+
     /// Asks the kernel itself: the event loop may not have come round to it yet.
     fn peek(&self) -> io::Result<usize> {
         socket2::SockRef::from(&*self.0.tcp.borrow()).peek(&mut [std::mem::MaybeUninit::uninit()])
@@ -370,6 +419,9 @@
             if self.overdue() {
                 return Poll::Ready(Err(io::ErrorKind::TimedOut.into()));
             }
+            if self.0.untouched.get() && self.client_closed() {
+                return Poll::Ready(Err(io::ErrorKind::ConnectionAborted.into()));
+            }
             // A close that lies unread there would make of this a request that may have run, and an answer its own.
             if self.0.untouched.get() && self.stirred() {
                 return Poll::Ready(Err(io::ErrorKind::ConnectionAborted.into()));
