Count the time that a request waited in the kernel against its deadline

Need: the proxy took a request's time from the moment its head was read.

Change: as a head is read the kernel is asked how long ago the last byte came (TCP_INFO, tcpi_last_data_recv, steps of some milliseconds; uapi reads it without unsafe code of ours), and the deadline is counted from there.

--- a/crates/http/src/server.rs
+++ b/crates/http/src/server.rs
@@ -514,7 +514,9 @@
     async fn proxy(
         self: &Rc<Self>, client: &Rc<Client>, rules: &Rules, head: Parts, body: Incoming,
     ) -> Result<Response<Full<Bytes>>, Fault> {
-        let came = self.host.clock.now();
+        // What stood in the accept queue or waited for the loop has used up that much of its time.
+        let waited = Micros(client.stream.since_last_received().as_micros() as u64);
+        let came = Time(self.host.clock.now().0.saturating_sub(waited.0));
         let taken = read(rules, &head, &body)?;
         let deadline = came + Micros(taken.left.0.saturating_sub(self.host.margin().0));
         let until = came + taken.left.min(rules.body_timeout);
--- a/crates/net/src/stream.rs
+++ b/crates/net/src/stream.rs
@@ -5,10 +5,11 @@
 use rustix::event::{PollFd, PollFlags, Timespec};
 use std::cell::{Cell, RefCell};
 use std::io;
+use std::os::fd::AsRawFd;
 use std::pin::Pin;
 use std::rc::{Rc, Weak};
 use std::task::{ready, Context, Poll, Waker};
-use std::time::Instant;
+use std::time::{Duration, Instant};
 use tokio::io::{AsyncRead, ReadBuf};
 use tokio::net::TcpStream;
 use tokio::sync::Notify;
@@ -19,6 +20,12 @@
 /// And no more of it is read before the connection ends: a body of the longest usual length, and as much again.
 const MOST_DRAINED: usize = 128 * 1024;
 
+/// So much of the kernel's `struct tcp_info` is read, in words of 32 bits.
+const TCP_INFO_WORDS: usize = 16;
+
+/// Where `tcpi_last_data_recv` stands in it, in milliseconds: behind eight fields of a byte and eleven of a word.
+const LAST_DATA_RECV: usize = 13;
+
 /// How far a message's head has got. It ends where hyper lets it end: with the first line that is empty, whether
 /// lines end in CRLF or in a bare LF. Empty lines before it count as nothing.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -369,6 +376,19 @@
         asked.is_ok() && polled[0].revents().intersects(closed)
     }
 
+    /// How long ago the last bytes came to this machine, whether or not they have been read; zero where the kernel does
+    /// not tell. Its clock moves on in steps of some milliseconds.
+    pub fn since_last_received(&self) -> Duration {
+        let fd = self.0.tcp.borrow().as_raw_fd();
+        let mut info = [0u32; TCP_INFO_WORDS];
+        match uapi::getsockopt(fd, uapi::c::IPPROTO_TCP, uapi::c::TCP_INFO, &mut info[..]) {
+            Ok(read) if read >= (LAST_DATA_RECV + 1) * size_of::<u32>() => {
+                Duration::from_millis(info[LAST_DATA_RECV].into())
+            }
+            _ => Duration::ZERO,
+        }
+    }
+
     /// Asks the kernel itself: the event loop may not have come round to it yet.
     fn peek(&self) -> io::Result<usize> {
         socket2::SockRef::from(&*self.0.tcp.borrow()).peek(&mut [std::mem::MaybeUninit::uninit()])
