Split the HTTP server into modules with one job each

http/src/server.rs held the client's state, the accept loop, the eviction rule, the exchange, the graceful stop, hyper's timer and the responses in 741 lines, and bodies, request, rules and server imported each other in a circle. Each job is a module of its own now, and the imports form a DAG: rules <- request <- connection/server <- bodies <- proxy <- serve <- accept <- shutdown. Pure moves: only visibilities changed, and the tests went with what they test.

--- a/crates/http/src/bodies.rs
+++ b/crates/http/src/bodies.rs
@@ -1,7 +1,8 @@
 //! Bodies of requests as they come: a thin shell over `admission::Bodies`, which says who is read and who has to go.
 
+use crate::connection::Client;
 use crate::request::Fault;
-use crate::server::{Client, Server};
+use crate::server::Server;
 use bytes::{Bytes, BytesMut};
 use http_body_util::BodyExt;
 use hyper::body::{Body, Incoming};
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -2,12 +2,25 @@
 //! that come back. It holds no pool, no address and no decision.
 #![forbid(unsafe_code)]
 
+mod accept;
 mod bodies;
+mod connection;
 mod errand;
+mod eviction;
+mod listener;
+mod proxy;
 mod request;
+mod request_id;
+mod response;
 mod rules;
+mod serve;
 mod server;
+mod shutdown;
+#[cfg(test)]
+mod testing;
+mod timer;
 
+pub use listener::listen;
 pub use request::Fault;
 pub use rules::{ClassRule, Rules, RulesDef};
-pub use server::{listen, Server};
+pub use server::Server;
--- /dev/null
+++ b/crates/http/src/response.rs
@@ -0,0 +1,68 @@
+//! The responses that the proxy gives itself, and the choice of what a client gets as the final answer.
+
+use crate::errand::Call;
+use crate::request::Fault;
+use crate::rules::Rules;
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::header::{HeaderValue, RETRY_AFTER};
+use hyper::{Response, StatusCode};
+use shaletide_balancer::Micros;
+use shaletide_net::Answer;
+use shaletide_record::{Conflict, Verdict};
+use shaletide_routing::{gets, Decision, Gets};
+
+/// The answer to a request that the record does not let go.
+pub(crate) fn not_let_go(rules: &Rules, verdict: Verdict) -> Result<Response<Full<Bytes>>, Fault> {
+    match verdict {
+        Verdict::Refuse(after) => Ok(refused(rules, after)),
+        Verdict::Conflict(conflict) => Ok(conflicting(conflict)),
+        Verdict::KeyWanted | Verdict::Go { .. } => Err(Fault::Key),
+        Verdict::KeyTooLong => Err(Fault::KeyTooLong),
+    }
+}
+
+/// A key that is not sent, now or by another try: nothing was sent for this request, and it is no refusal.
+fn conflicting(conflict: Conflict) -> Response<Full<Bytes>> {
+    plain(
+        StatusCode::CONFLICT,
+        match conflict {
+            Conflict::InFlight => "a request of this key is under way\n",
+            Conflict::Doubt => "a request of this key may have run; an operator has to say whether it did\n",
+            Conflict::Served => "a request of this key was served\n",
+        },
+    )
+}
+
+pub(crate) fn refused(rules: &Rules, after: Micros) -> Response<Full<Bytes>> {
+    let mut response = plain(StatusCode::SERVICE_UNAVAILABLE, "refused\n");
+    if let Ok(advice) = HeaderValue::try_from(rules.advice(after)) {
+        response.headers_mut().insert(RETRY_AFTER, advice);
+    }
+    response
+}
+
+/// The final answer as the client gets it.
+pub(crate) fn rendered(rules: &Rules, answer: Answer, call: &Call, safe: bool) -> Response<Full<Bytes>> {
+    if let (Some(conflict), Decision::Refused(_)) = (answer.conflict, answer.decision) {
+        return conflicting(conflict);
+    }
+    let (last, got) = answer.attempt.and_then(|attempt| call.take(attempt)).unzip();
+    match (gets(answer.decision, call.answers.errors, safe, last), got) {
+        (Gets::Pass, Some(got)) => {
+            let mut response = Response::new(Full::new(got.body));
+            *response.status_mut() = got.status;
+            *response.headers_mut() = got.headers;
+            response
+        }
+        (Gets::Refuse(after), _) => refused(rules, after),
+        (Gets::GatewayTimeout, _) => plain(StatusCode::GATEWAY_TIMEOUT, "timed out\n"),
+        (Gets::BadGateway | Gets::Pass, _) => plain(StatusCode::BAD_GATEWAY, "failed\n"),
+    }
+}
+
+pub(crate) fn plain(status: StatusCode, text: impl Into<Bytes>) -> Response<Full<Bytes>> {
+    let mut response = Response::new(Full::new(text.into()));
+    *response.status_mut() = status;
+    response
+}
--- a/crates/http/src/rules.rs
+++ b/crates/http/src/rules.rs
@@ -1,6 +1,5 @@
 //! What requests are read and checked by, made of a configuration once and replaced whole by the next.
 
-use crate::server::FIRST_PATIENCE;
 use hyper::header::{HeaderName, CONTENT_LENGTH, HOST};
 use hyper::Method;
 use shaletide_admission::{Measures, Rate};
@@ -9,6 +8,9 @@
 use std::collections::{HashMap, HashSet};
 use std::rc::Rc;
 
+/// A first request that has begun to come is whole after this time, or makes way where room is needed.
+pub(crate) const FIRST_PATIENCE: Micros = Micros(100_000);
+
 /// What is checked of a class's requests.
 #[derive(Clone, Debug)]
 pub struct ClassRule {
--- /dev/null
+++ b/crates/http/src/serve/tests.rs
@@ -0,0 +1,44 @@
+//! Tests of `serve` that need its private items.
+
+use super::*;
+use crate::response::plain;
+use crate::testing::{accepted, DEADLINE, PAY};
+use hyper::StatusCode;
+use shaletide_net::Stream;
+use std::cell::Cell;
+use std::future::Future;
+use std::io::Write;
+use std::task::Poll;
+
+/// A connection at rest is closed by what `serve` does about it. What comes between that and the close is not read any
+/// more, on a new connection or on one that was answered, and whether or not the event loop has heard of it.
+#[tokio::test]
+async fn what_crosses_the_close_of_a_resting_connection_is_not_read() {
+    for (asked, heard) in [(0, false), (0, true), (1, false), (1, true)] {
+        let (tcp, mut client) = accepted().await;
+        let stream = Stream::new(tcp);
+        let calls = Cell::new(0);
+        let service = service_fn(|_| async {
+            calls.set(calls.get() + 1);
+            stream.mark_idle();
+            Ok::<_, Infallible>(plain(StatusCode::OK, "x"))
+        });
+        let mut builder = http1::Builder::new();
+        builder.timer(Timer).header_read_timeout(span(DEADLINE));
+        let mut conn = pin!(builder.serve_connection(stream.clone(), service));
+        (0..asked).for_each(|_| client.write_all(PAY.as_bytes()).unwrap());
+        for _ in 0..100 {
+            let poll = std::future::poll_fn(|cx| Poll::Ready(conn.as_mut().poll(cx).is_pending()));
+            assert!(poll.await, "it has ended");
+            tokio::task::yield_now().await;
+        }
+        assert_eq!((calls.get(), stream.stirred()), (asked, false), "it is at rest");
+        conn.as_mut().graceful_shutdown();
+        client.write_all(PAY.as_bytes()).unwrap();
+        for _ in 0..if heard { 100 } else { 0 } {
+            tokio::task::yield_now().await;
+        }
+        conn.await.unwrap();
+        assert_eq!((calls.get(), stream.unread()), (asked, true), "after {asked}");
+    }
+}
--- /dev/null
+++ b/crates/http/src/testing.rs
@@ -0,0 +1,88 @@
+//! What the tests of several modules share.
+
+use crate::{listen, ClassRule, Rules, RulesDef, Server};
+use hyper::Method;
+use shaletide_balancer::{Config, Effect, Micros};
+use shaletide_membership::{PoolSpec, Source};
+use shaletide_net::{Clock, Host, Network, PoolSetup};
+use shaletide_routing::{Answers, Form, Match, Route};
+use std::rc::Rc;
+use tokio::net::TcpStream;
+
+pub(crate) const DEADLINE: Micros = Micros(6_000_000);
+
+/// A front with places for so many, whose one class has a pool with no box in it: requests wait for one until their
+/// time is up.
+pub(crate) fn without_boxes(max: usize) -> Rc<Server> {
+    let network = Network {
+        connect_timeout: DEADLINE,
+        idle_timeout: DEADLINE,
+        answer_stall: None,
+        max_body: 64,
+        most: 8,
+    };
+    let host = Host::new(Clock::new(), network);
+    let spec = PoolSpec { name: "p".into(), repeats: None, source: Source::Listed };
+    let mut config = Config::example();
+    config.classes[0].aim = Micros(2_000_000); // whoever finds no box is refused well before that, and after 1 s
+    let setup = PoolSetup { spec, config };
+    let pools = host.setup(Some((&[], &[])), "a", 1, network, vec![setup]).unwrap();
+    tokio::task::spawn_local(host.clone().timers());
+    let (form, answers) = (Form::platform(), Answers::platform());
+    let class = ClassRule {
+        name: "pay".into(),
+        effect: Effect::Unsafe,
+        methods: vec![Method::POST],
+        deadline: DEADLINE,
+    };
+    let rules = RulesDef {
+        form,
+        classes: vec![class],
+        tenants: Vec::new(),
+        routes: vec![Route { name: "r".into(), when: Match::default(), pools, answers }],
+        zone: "a".into(),
+        max_retry_after: DEADLINE,
+        whole_seconds: false,
+        head_timeout: DEADLINE,
+        body_timeout: DEADLINE,
+        body_rate: 0,
+        body_grace: DEADLINE,
+        held_bodies: 64,
+        max_body: 64,
+        record: false,
+        longest_stop: None,
+    };
+    Server::new(host, Rules::new(rules), max, 1)
+}
+
+/// A connection that was just accepted, and its client's end.
+pub(crate) async fn accepted() -> (TcpStream, std::net::TcpStream) {
+    let listener = listen(([127, 0, 0, 1], 0).into()).unwrap();
+    let client = std::net::TcpStream::connect(listener.local_addr().unwrap()).unwrap();
+    (listener.accept().await.unwrap().0, client)
+}
+
+/// A client's end of a connection that the front has taken in.
+pub(crate) async fn client(server: &Rc<Server>) -> std::net::TcpStream {
+    let (tcp, client) = accepted().await;
+    server.take_in(tcp);
+    client
+}
+
+/// All that comes on it until it ends.
+pub(crate) async fn rest(client: std::net::TcpStream) -> String {
+    client.set_nonblocking(true).unwrap();
+    let (client, mut got, mut chunk) = (TcpStream::from_std(client).unwrap(), Vec::new(), [0; 1024]);
+    loop {
+        client.readable().await.unwrap();
+        match client.try_read(&mut chunk) {
+            Ok(0) => return String::from_utf8(got).unwrap(),
+            Ok(n) => got.extend_from_slice(&chunk[..n]),
+            Err(e) if e.kind() == std::io::ErrorKind::WouldBlock => {}
+            Err(e) => panic!("{e} after {}", String::from_utf8_lossy(&got)),
+        }
+    }
+}
+
+pub(crate) const PAY: &str =
+    "POST /pay/k HTTP/1.1\r\nHost: s\r\nX-Correlation-Id: 1\r\nContent-Length: 4\r\n\r\ncash";
