Choose the connection to evict in a pure function

The rule read each client's cells and socket in one pass of closures and could be tested only over real connections. eviction_order takes plain data and returns the candidates in order; the sockets are asked one after the other as before.

--- a/crates/http/src/eviction.rs
+++ b/crates/http/src/eviction.rs
@@ -1,37 +1,82 @@
-//! Which connection is closed to make room for another.
+//! Which connection is closed to make room for another: [`eviction_order`] decides over plain data, and the sockets
+//! of its candidates are asked one after the other.
 
 use crate::connection::Client;
 use crate::rules::FIRST_PATIENCE;
 use crate::server::Server;
+use shaletide_balancer::Time;
 
-/// Connections that never sent a whole request hold this part of the places before they go first at any age.
+/// Connections that never sent a complete request may hold this part of the connection limit; while they hold more,
+/// they are evicted first at any age.
 const UNPROVEN_PART: usize = 4;
 
+/// What the choice depends on, apart from the socket.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct Candidate<K> {
+    /// The connection it stands for.
+    pub key: K,
+    /// One of its requests is being answered.
+    pub busy: bool,
+    /// It has sent a complete and valid request.
+    pub proven: bool,
+    /// It was chosen before.
+    pub evicted: bool,
+    /// When it was accepted or last answered.
+    pub idle_since: Time,
+    /// The body of its request is being read since then.
+    pub body_since: Option<Time>,
+}
+
+impl<K> Candidate<K> {
+    /// Its first request may still be on its way.
+    fn is_new(&self, now: Time) -> bool {
+        now - self.idle_since < FIRST_PATIENCE
+    }
+
+    /// The body that it is sending has taken long enough to be given up.
+    fn sends_slowly(&self, now: Time, crowded_by_unproven: bool) -> bool {
+        let at_once = crowded_by_unproven && !self.proven;
+        self.body_since.is_some_and(|since| at_once || now - since >= FIRST_PATIENCE)
+    }
+
+    /// Bytes that it has sent protect it even when nobody has read them yet, as they may be a whole request.
+    fn is_protected_by_input(&self, now: Time) -> bool {
+        self.proven || self.is_new(now)
+    }
+}
+
+/// The connections that may be closed, first choice first: those whose bodies come slowly and those that never sent a
+/// complete request, then those that were idle longest. `crowded_by_unproven`: connections that never sent one hold
+/// too many slots, so that their age protects none of them.
+fn eviction_order<K>(
+    now: Time, crowded_by_unproven: bool, candidates: impl Iterator<Item = Candidate<K>>,
+) -> Vec<Candidate<K>> {
+    let may_go = |c: &Candidate<K>| (!c.busy || c.sends_slowly(now, crowded_by_unproven)) && !c.evicted;
+    let mut order: Vec<_> = candidates.filter(may_go).collect();
+    order.sort_by_key(|c| match c.body_since {
+        Some(since) => (false, since),
+        None => (c.proven || !crowded_by_unproven && c.is_new(now), c.idle_since),
+    });
+    order
+}
+
 impl Server {
-    /// The one that was idle longest leaves, but before it one that never sent a whole request, or whose body keeps
-    /// others waiting: at once where such hold many of the places, else when it had time to.
+    /// Closes the connection that [`eviction_order`] names first and on which no request waits to be read. Whether
+    /// there was one.
     pub(crate) fn close_longest_idle(&self) -> bool {
         let now = self.host.clock.now();
+        let crowded_by_unproven = self.unproven() > self.max / UNPROVEN_PART;
         let clients = self.clients.borrow();
-        let few = self.unproven() <= self.max / UNPROVEN_PART;
-        let young = |c: &Client| now - c.since.get() < FIRST_PATIENCE;
-        let lags = |c: &Client| {
-            let at_once = !few && !c.proven.get();
-            c.coming.get().is_some_and(|since| at_once || now - since >= FIRST_PATIENCE)
-        };
-        let may_go = |c: &Client| (!c.busy.get() || lags(c)) && !c.leaving.get();
-        let later = |c: &Client| match c.coming.get() {
-            Some(since) => (false, since),
-            None => (c.proven.get() || few && young(c), c.since.get()),
-        };
-        // What nobody has read yet may be a whole request.
-        let coming = |c: &Client| c.stream.stirred() && (c.proven.get() || young(c) || c.stream.unread());
+        let candidates = clients.values().map(|client| client.candidate());
         // The kernel is asked of one candidate after the other, and not of all clients: a system call for each of
         // some hundred clients at each eviction took all the processor time that there was.
-        let mut candidates: Vec<_> = clients.values().filter(|c| may_go(c)).collect();
-        candidates.sort_by_key(|c| later(c));
-        let first = candidates.into_iter().find(|c| !coming(c));
-        let Some(client) = first else { return false };
+        let order = eviction_order(now, crowded_by_unproven, candidates);
+        let Some(chosen) =
+            order.into_iter().find(|c| !c.key.has_request_waiting(c.is_protected_by_input(now)))
+        else {
+            return false;
+        };
+        let client = chosen.key;
         self.evicted.set(self.evicted.get() + 1);
         client.leave(); // another call at the same moment chooses another
         match client.coming.get() {
@@ -42,5 +87,24 @@
     }
 }
 
+impl Client {
+    fn candidate(&self) -> Candidate<&Client> {
+        Candidate {
+            key: self,
+            busy: self.busy.get(),
+            proven: self.proven.get(),
+            evicted: self.leaving.get(),
+            idle_since: self.since.get(),
+            body_since: self.coming.get(),
+        }
+    }
+
+    /// By what its socket says at this moment: bytes that were read count only with `any_input`, bytes that were not
+    /// always do.
+    fn has_request_waiting(&self, any_input: bool) -> bool {
+        self.stream.stirred() && (any_input || self.stream.unread())
+    }
+}
+
 #[cfg(test)]
 mod tests;
