--- a/crates/http/src/bodies.rs
+++ b/crates/http/src/bodies.rs
@@ -12,10 +12,10 @@
 use std::time::Duration;
 
 /// Whoever stands in line looks this often whether somebody has to make room.
-const LOOK: Duration = Duration::from_millis(20);
+const EVICTION_CHECK_INTERVAL: Duration = Duration::from_millis(20);
 
 /// Why a body is not whole.
-pub(crate) enum Unread {
+pub(crate) enum BodyError {
     /// By its client's doing, or to make room.
     Fault(Fault),
     /// None of it was read, as there was no room in its time: a retry is harmless.
@@ -24,35 +24,35 @@
 
 /// A body that is read, and then the room that it holds until its request is answered. Dropped at any moment it gives
 /// its room back.
-pub(crate) struct Coming {
+pub(crate) struct IncomingBody {
     server: Rc<Server>,
     client: Rc<Client>,
     id: BodyId,
     length: usize,
 }
 
-impl Coming {
+impl IncomingBody {
     /// Of the length that its head names.
     ///
     /// # Errors
     /// Where it names none; heads are checked for that before.
-    pub fn new(server: &Rc<Server>, client: &Rc<Client>, body: &Incoming) -> Result<Coming, Unread> {
-        let length = body.size_hint().exact().ok_or(Unread::Fault(Fault::Length))? as usize;
+    pub fn new(server: &Rc<Server>, client: &Rc<Client>, body: &Incoming) -> Result<IncomingBody, BodyError> {
+        let length = body.size_hint().exact().ok_or(BodyError::Fault(Fault::Length))? as usize;
         let id = server.bodies.borrow_mut().begin(server.host.clock.now(), length);
-        server.senders.borrow_mut().insert(id, client.clone());
-        Ok(Coming { server: server.clone(), client: client.clone(), id, length })
+        server.body_senders.borrow_mut().insert(id, client.clone());
+        Ok(IncomingBody { server: server.clone(), client: client.clone(), id, length })
     }
 
     /// All of it, by then. Dropped midway it leaves nothing behind but its place, which goes with `self`.
     ///
     /// # Errors
     /// Why it is not whole.
-    pub async fn whole(&self, until: Time, mut body: Incoming) -> Result<Bytes, Unread> {
+    pub async fn whole(&self, until: Time, mut body: Incoming) -> Result<Bytes, BodyError> {
         self.enter(until).await?;
-        self.client.coming.set(Some(self.now()));
+        self.client.body_since.set(Some(self.now()));
         let read = self.read(until, &mut body).await;
-        self.client.coming.set(None);
-        let whole = read.map_err(Unread::Fault)?;
+        self.client.body_since.set(None);
+        let whole = read.map_err(BodyError::Fault)?;
         self.server.bodies.borrow_mut().taken(self.id);
         Ok(whole)
     }
@@ -62,18 +62,18 @@
     }
 
     /// Until it may be read.
-    async fn enter(&self, until: Time) -> Result<(), Unread> {
+    async fn enter(&self, until: Time) -> Result<(), BodyError> {
         loop {
             let now = self.now();
             match self.server.bodies.borrow().entry(self.id) {
                 Entry::In => return Ok(()),
-                Entry::Out => return Err(Unread::Fault(Fault::Slow)),
-                Entry::Waits if now >= until => return Err(Unread::NoRoom),
+                Entry::Out => return Err(BodyError::Fault(Fault::Slow)),
+                Entry::Waits if now >= until => return Err(BodyError::NoRoom),
                 Entry::Waits => {}
             }
             let pushed = self.server.bodies.borrow_mut().push_out(now);
-            self.server.tell(pushed);
-            let _ = tokio::time::timeout(LOOK, self.client.turn.notified()).await;
+            self.server.notify_senders(pushed);
+            let _ = tokio::time::timeout(EVICTION_CHECK_INTERVAL, self.client.body_changed.notified()).await;
         }
     }
 
@@ -84,9 +84,9 @@
             let frame = tokio::select! {
                 biased; // what is there is taken before the time is asked, and no timer is set for it
                 frame = body.frame() => frame,
-                () = self.client.turn.notified() => {
+                () = self.client.body_changed.notified() => {
                     let is_in = self.server.bodies.borrow().entry(self.id) == Entry::In;
-                    if self.client.is_leaving() || !is_in {
+                    if self.client.is_evicted() || !is_in {
                         return Err(Fault::Slow);
                     }
                     continue;
@@ -110,20 +110,20 @@
     }
 }
 
-impl Drop for Coming {
+impl Drop for IncomingBody {
     fn drop(&mut self) {
-        self.server.senders.borrow_mut().remove(&self.id);
+        self.server.body_senders.borrow_mut().remove(&self.id);
         self.server.bodies.borrow_mut().over(self.now(), self.id);
-        self.server.tell(None);
+        self.server.notify_senders(None);
     }
 }
 
 impl Server {
     /// Tells those whose bodies were let in, and one that has to make room.
-    fn tell(&self, pushed: Option<BodyId>) {
+    fn notify_senders(&self, pushed: Option<BodyId>) {
         let let_in = self.bodies.borrow_mut().let_in();
-        let senders = self.senders.borrow();
-        let concerned = let_in.into_iter().chain(pushed).filter_map(|id| senders.get(&id));
-        concerned.for_each(|client| client.turn.notify_one());
+        let body_senders = self.body_senders.borrow();
+        let concerned = let_in.into_iter().chain(pushed).filter_map(|id| body_senders.get(&id));
+        concerned.for_each(|client| client.body_changed.notify_one());
     }
 }
--- a/crates/http/src/connection.rs
+++ b/crates/http/src/connection.rs
@@ -8,59 +8,71 @@
 
 /// How many clients were not told to leave, and how many of these have sent a whole request that made sense.
 #[derive(Default)]
-pub(crate) struct Staying {
-    pub(crate) all: Cell<usize>,
+pub(crate) struct ConnectionCounters {
+    pub(crate) active: Cell<usize>,
     pub(crate) proven: Cell<usize>,
 }
 
 pub(crate) struct Client {
     pub(crate) stream: Stream,
-    staying: Rc<Staying>,
+    counters: Rc<ConnectionCounters>,
     pub(crate) busy: Cell<bool>,
     /// It has sent a whole request that made sense.
     pub(crate) proven: Cell<bool>,
     /// It was answered once.
     pub(crate) answered: Cell<bool>,
     /// Its last answer said that the connection ends.
-    pub(crate) last: Cell<bool>,
+    pub(crate) announced_close: Cell<bool>,
     /// When it was accepted or last answered.
-    pub(crate) since: Cell<Time>,
+    pub(crate) idle_since: Cell<Time>,
     /// It was chosen to make room.
-    pub(crate) leaving: Cell<bool>,
-    pub(crate) close: Notify,
+    pub(crate) evicted: Cell<bool>,
+    pub(crate) close_requested: Notify,
     /// The body of its request has been coming since then; nothing is owed for it yet.
-    pub(crate) coming: Cell<Option<Time>>,
+    pub(crate) body_since: Cell<Option<Time>>,
     /// Something about that body has changed.
-    pub(crate) turn: Notify,
+    pub(crate) body_changed: Notify,
 }
 
 impl Client {
-    pub(crate) fn new(stream: Stream, since: Cell<Time>, staying: Rc<Staying>) -> Client {
-        staying.all.set(staying.all.get() + 1);
-        let (busy, proven, leaving) = (Cell::new(false), Cell::new(false), Cell::new(false));
-        let (answered, last) = (Cell::new(false), Cell::new(false));
-        let (close, coming, turn) = (Notify::new(), Cell::new(None), Notify::new());
-        Client { stream, staying, busy, proven, answered, last, since, leaving, close, coming, turn }
+    pub(crate) fn new(stream: Stream, idle_since: Cell<Time>, counters: Rc<ConnectionCounters>) -> Client {
+        counters.active.set(counters.active.get() + 1);
+        let (busy, proven, evicted) = (Cell::new(false), Cell::new(false), Cell::new(false));
+        let (answered, announced_close) = (Cell::new(false), Cell::new(false));
+        let (close_requested, body_since, body_changed) = (Notify::new(), Cell::new(None), Notify::new());
+        Client {
+            stream,
+            counters,
+            busy,
+            proven,
+            answered,
+            announced_close,
+            idle_since,
+            evicted,
+            close_requested,
+            body_since,
+            body_changed,
+        }
     }
 
     /// It has sent a whole request that made sense.
     pub(crate) fn prove(&self) {
-        if !self.proven.replace(true) && !self.leaving.get() {
-            self.staying.proven.set(self.staying.proven.get() + 1);
+        if !self.proven.replace(true) && !self.evicted.get() {
+            self.counters.proven.set(self.counters.proven.get() + 1);
         }
     }
 
     /// It was chosen to make room.
-    pub(crate) fn is_leaving(&self) -> bool {
-        self.leaving.get()
+    pub(crate) fn is_evicted(&self) -> bool {
+        self.evicted.get()
     }
 
     /// It is to make room.
-    pub(crate) fn leave(&self) {
-        if !self.leaving.replace(true) {
-            self.staying.all.set(self.staying.all.get() - 1);
+    pub(crate) fn release_slot(&self) {
+        if !self.evicted.replace(true) {
+            self.counters.active.set(self.counters.active.get() - 1);
             if self.proven.get() {
-                self.staying.proven.set(self.staying.proven.get() - 1);
+                self.counters.proven.set(self.counters.proven.get() - 1);
             }
         }
     }
@@ -68,6 +80,6 @@
 
 impl Drop for Client {
     fn drop(&mut self) {
-        self.leave();
+        self.release_slot();
     }
 }
--- a/crates/http/src/eviction.rs
+++ b/crates/http/src/eviction.rs
@@ -2,13 +2,13 @@
 //! of its candidates are asked one after the other.
 
 use crate::connection::Client;
-use crate::rules::FIRST_PATIENCE;
+use crate::rules::FIRST_REQUEST_PATIENCE;
 use crate::server::Server;
 use shaletide_balancer::Time;
 
 /// Connections that never sent a complete request may hold this part of the connection limit; while they hold more,
 /// they are evicted first at any age.
-const UNPROVEN_PART: usize = 4;
+const UNPROVEN_DIVISOR: usize = 4;
 
 /// What the choice depends on, apart from the socket.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -30,13 +30,13 @@
 impl<K> Candidate<K> {
     /// Its first request may still be on its way.
     fn is_new(&self, now: Time) -> bool {
-        now - self.idle_since < FIRST_PATIENCE
+        now - self.idle_since < FIRST_REQUEST_PATIENCE
     }
 
     /// The body that it is sending has taken long enough to be given up.
     fn sends_slowly(&self, now: Time, crowded_by_unproven: bool) -> bool {
         let at_once = crowded_by_unproven && !self.proven;
-        self.body_since.is_some_and(|since| at_once || now - since >= FIRST_PATIENCE)
+        self.body_since.is_some_and(|since| at_once || now - since >= FIRST_REQUEST_PATIENCE)
     }
 
     /// Bytes that it has sent protect it even when nobody has read them yet, as they may be a whole request.
@@ -63,9 +63,9 @@
 impl Server {
     /// Closes the connection that [`eviction_order`] names first and on which no request waits to be read. Whether
     /// there was one.
-    pub(crate) fn close_longest_idle(&self) -> bool {
+    pub(crate) fn evict_one(&self) -> bool {
         let now = self.host.clock.now();
-        let crowded_by_unproven = self.unproven() > self.max / UNPROVEN_PART;
+        let crowded_by_unproven = self.unproven() > self.max_clients / UNPROVEN_DIVISOR;
         let clients = self.clients.borrow();
         let candidates = clients.values().map(|client| client.candidate());
         // The kernel is asked of one candidate after the other, and not of all clients: a system call for each of
@@ -78,10 +78,10 @@
         };
         let client = chosen.key;
         self.evicted.set(self.evicted.get() + 1);
-        client.leave(); // another call at the same moment chooses another
-        match client.coming.get() {
-            Some(_) => client.turn.notify_one(), // it is told why
-            None => client.close.notify_one(),
+        client.release_slot(); // another call at the same moment chooses another
+        match client.body_since.get() {
+            Some(_) => client.body_changed.notify_one(), // it is told why
+            None => client.close_requested.notify_one(),
         }
         true
     }
@@ -93,16 +93,16 @@
             key: self,
             busy: self.busy.get(),
             proven: self.proven.get(),
-            evicted: self.leaving.get(),
-            idle_since: self.since.get(),
-            body_since: self.coming.get(),
+            evicted: self.evicted.get(),
+            idle_since: self.idle_since.get(),
+            body_since: self.body_since.get(),
         }
     }
 
     /// By what its socket says at this moment: bytes that were read count only with `any_input`, bytes that were not
     /// always do.
     fn has_request_waiting(&self, any_input: bool) -> bool {
-        self.stream.stirred() && (any_input || self.stream.unread())
+        self.stream.has_pending_input() && (any_input || self.stream.has_unread_bytes())
     }
 }
 
--- a/crates/http/src/eviction/tests.rs
+++ b/crates/http/src/eviction/tests.rs
@@ -1,32 +1,32 @@
 //! Tests of `eviction` that need its private items.
 
 use super::*;
-use crate::testing::{client, rest, without_boxes, PAY};
+use crate::testing::{connect_client, read_to_end, server_without_backends, PAY};
 use std::io::Write;
 
 /// Its request comes after it was chosen to make room and before it was told: it is answered, however long that
 /// takes, and the connection ends then.
 #[tokio::test]
-async fn a_request_that_crosses_its_clients_eviction_is_answered() {
+async fn request_that_arrives_during_eviction_is_answered() {
     let run = async {
-        let (server, parts) = (without_boxes(2), [0, 30]);
+        let (server, parts) = (server_without_backends(2), [0, 30]);
         let mut clients = Vec::new();
         for part in parts {
-            let mut client = client(&server).await;
+            let mut client = connect_client(&server).await;
             client.write_all(&PAY.as_bytes()[..part]).unwrap();
             clients.push(client);
         }
         for _ in 0..100 {
             tokio::task::yield_now().await; // so much of them is read
         }
-        server.clients.borrow().values().for_each(|c| c.since.set(Time(0))); // they are no new ones
-        assert!(server.close_longest_idle() && server.close_longest_idle(), "nothing of them is unread");
+        server.clients.borrow().values().for_each(|c| c.idle_since.set(Time(0))); // they are no new ones
+        assert!(server.evict_one() && server.evict_one(), "nothing of them is unread");
         for (client, part) in clients.iter_mut().zip(parts) {
             let id = format!("Id: {part}");
             client.write_all(&PAY.replace("Id: 1", &id[..5]).as_bytes()[part..]).unwrap();
         }
         for client in clients {
-            let answer = rest(client).await;
+            let answer = read_to_end(client).await;
             assert!(answer.starts_with("HTTP/1.1 50"), "{answer:?}");
             assert!(answer.contains("connection: close"), "{answer:?}");
         }
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -5,7 +5,6 @@
 mod accept;
 mod bodies;
 mod connection;
-mod errand;
 mod eviction;
 mod listener;
 mod proxy;
@@ -19,6 +18,7 @@
 #[cfg(test)]
 mod testing;
 mod timer;
+mod upstream;
 
 pub use listener::listen;
 pub use request::Fault;
--- a/crates/http/src/listener.rs
+++ b/crates/http/src/listener.rs
@@ -19,7 +19,9 @@
 
 /// The next connection of any of them. Who is asked first moves on with the count: one address to which connections
 /// never cease to come does not keep the others' waiting.
-pub(crate) async fn any(listeners: &[TcpListener], count: u64) -> std::io::Result<(TcpStream, SocketAddr)> {
+pub(crate) async fn accept_any(
+    listeners: &[TcpListener], count: u64,
+) -> std::io::Result<(TcpStream, SocketAddr)> {
     let (front, back) = listeners.split_at((count % listeners.len().max(1) as u64) as usize);
     std::future::poll_fn(|cx| {
         let mut each = back.iter().chain(front).map(|listener| listener.poll_accept(cx));
--- a/crates/http/src/proxy/tests.rs
+++ b/crates/http/src/proxy/tests.rs
@@ -1,25 +1,25 @@
 //! Tests of `proxy` that need its private items.
 
 use super::*;
-use crate::testing::{client, rest, without_boxes, DEADLINE, PAY};
+use crate::testing::{connect_client, read_to_end, server_without_backends, DEADLINE, PAY};
 use shaletide_net::span;
 use std::io::Write;
 
 /// Its body waits for room, which another holds, as the program stops: it is answered by the time at which all is, and
 /// not only once its body would have been late.
 #[tokio::test]
-async fn a_body_that_waits_for_room_is_answered_before_the_program_ends() {
+async fn request_waiting_for_body_space_is_answered_before_shutdown_ends() {
     let run = async {
-        let server = without_boxes(2);
+        let server = server_without_backends(2);
         let holder = server.bodies.borrow_mut().begin(server.host.clock.now(), 64);
         server.bodies.borrow_mut().let_in();
         server.bodies.borrow_mut().taken(holder); // its request waits for an answer
-        let mut client = client(&server).await;
-        server.stopping.set(Some(server.host.clock.now() + Micros(300_000)));
+        let mut client = connect_client(&server).await;
+        server.stop_deadline.set(Some(server.host.clock.now() + Micros(300_000)));
         client.write_all(PAY.as_bytes()).unwrap();
         let late = tokio::time::sleep(span(DEADLINE) / 2);
         tokio::select! {
-            answer = rest(client) => assert!(answer.starts_with("HTTP/1.1 503"), "{answer:?}"),
+            answer = read_to_end(client) => assert!(answer.starts_with("HTTP/1.1 503"), "{answer:?}"),
             () = late => panic!("it still waits"),
         }
         server.bodies.borrow_mut().over(server.host.clock.now(), holder);
--- a/crates/http/src/request.rs
+++ b/crates/http/src/request.rs
@@ -144,7 +144,7 @@
 }
 
 /// A request as its head says.
-pub struct Taken {
+pub struct ParsedHead {
     pub class: ClassId,
     pub tenant: Option<TenantId>,
     /// As it came, whether it is known or not.
@@ -159,7 +159,7 @@
 }
 
 /// Reads a head and checks it.
-pub fn read(rules: &Rules, head: &Parts, body: &Incoming) -> Result<Taken, Fault> {
+pub fn read_head(rules: &Rules, head: &Parts, body: &Incoming) -> Result<ParsedHead, Fault> {
     let headers = &head.headers;
     let class = class_of(rules, head)?;
     let rule = rules.classes.get(class.0).ok_or(Fault::NoSuchClass)?;
@@ -198,7 +198,7 @@
     // Only for the record.
     let own = |text: Option<&str>| text.filter(|_| rules.record).map(String::from);
     let (tenant_name, key) = (own(tenant_name), own(key));
-    Ok(Taken { class, tenant, tenant_name, key, id: id.cloned(), left, route })
+    Ok(ParsedHead { class, tenant, tenant_name, key, id: id.cloned(), left, route })
 }
 
 fn class_of(rules: &Rules, head: &Parts) -> Result<ClassId, Fault> {
--- a/crates/http/src/request/tests.rs
+++ b/crates/http/src/request/tests.rs
@@ -49,7 +49,7 @@
 
 /// Whatever `Connection` may take out without harm it may name; nothing that counts.
 #[test]
-fn connection_lines_may_not_name_what_must_go_on() {
+fn connection_header_may_not_name_required_headers() {
     let to_keep = &rules().to_keep;
     for line in ["close", "keep-alive, x-private", "", " , ,", "te", "x-account-2", "idempotency key"] {
         assert_eq!(goes_on_whole(&headers(&[("connection", line)]), to_keep), Ok(()), "{line:?}");
@@ -75,7 +75,7 @@
 }
 
 #[test]
-fn what_a_request_is_read_by_stands_once_or_not_at_all() {
+fn repeated_routing_header_is_rejected() {
     let key = Place::Header(HeaderName::from_static("idempotency-key"));
     let at = |lines: &[(&'static str, &'static str)], place: &Place| {
         let mut parts = hyper::Request::builder().uri("/read//k9").body(()).unwrap().into_parts().0;
@@ -93,7 +93,7 @@
 }
 
 #[test]
-fn advice_is_never_less_than_was_meant() {
+fn retry_after_is_never_rounded_down() {
     let rules = rules();
     assert_eq!(rules.advice(Micros(1)), "1");
     assert_eq!(rules.advice(Micros(1_200_000)), "2");
@@ -102,7 +102,7 @@
 
 /// Names of classes may have a slash; the longest that a path begins with is meant.
 #[test]
-fn a_class_may_be_named_by_several_parts_of_the_path() {
+fn class_name_may_span_several_path_segments() {
     let mut def = def();
     for (name, effect) in
         [("read/all", Effect::Free), ("read/all/pay", Effect::Unsafe), ("a//b", Effect::Free)]
@@ -142,7 +142,7 @@
 }
 
 #[test]
-fn a_path_is_plain_when_nothing_in_it_leads_elsewhere() {
+fn path_with_dot_segments_or_backslashes_is_not_plain() {
     for path in [
         "/",
         "/read",
@@ -187,7 +187,7 @@
 }
 
 #[test]
-fn a_host_is_a_name_or_an_address_and_perhaps_a_port() {
+fn host_header_is_a_name_or_address_with_optional_port() {
     for host in ["s", "service.internal", "S-1.a_b.", "10.1.0.18:8443", "s:0", "[::1]", "[fd00::1]:80"] {
         assert!(is_host(host), "{host}");
     }
@@ -234,7 +234,7 @@
 }
 
 #[test]
-fn a_target_that_names_a_host_names_the_one_that_host_names() {
+fn absolute_target_must_match_the_host_header() {
     let check = |target: &str, host: Option<&str>, version: Version| {
         let mut request = hyper::Request::builder().uri(target).version(version);
         if let Some(host) = host {
--- a/crates/http/src/request_id.rs
+++ b/crates/http/src/request_id.rs
@@ -9,8 +9,8 @@
     /// An id for a request that brings none, different from all that were given before.
     pub(crate) fn give_id(&self) -> Option<HeaderValue> {
         // SplitMix64: one to one, so that none comes twice.
-        let next = self.given.get().wrapping_add(0x9e37_79b9_7f4a_7c15);
-        self.given.set(next);
+        let next = self.id_state.get().wrapping_add(0x9e37_79b9_7f4a_7c15);
+        self.id_state.set(next);
         let mixed = (next ^ (next >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
         let mixed = (mixed ^ (mixed >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
         HeaderValue::try_from(format!("{:016x}", mixed ^ (mixed >> 31))).ok()
@@ -18,19 +18,19 @@
 }
 
 /// Keeps the id of an open request from being used twice.
-pub(crate) struct Open<'a> {
+pub(crate) struct IdGuard<'a> {
     ids: &'a RefCell<HashSet<HeaderValue>>,
     id: HeaderValue,
 }
 
-impl<'a> Open<'a> {
-    pub(crate) fn new(ids: &'a RefCell<HashSet<HeaderValue>>, id: HeaderValue) -> Option<Open<'a>> {
+impl<'a> IdGuard<'a> {
+    pub(crate) fn new(ids: &'a RefCell<HashSet<HeaderValue>>, id: HeaderValue) -> Option<IdGuard<'a>> {
         let fresh = ids.borrow_mut().insert(id.clone());
-        fresh.then_some(Open { ids, id })
+        fresh.then_some(IdGuard { ids, id })
     }
 }
 
-impl Drop for Open<'_> {
+impl Drop for IdGuard<'_> {
     fn drop(&mut self) {
         self.ids.borrow_mut().remove(&self.id);
     }
--- a/crates/http/src/response.rs
+++ b/crates/http/src/response.rs
@@ -1,8 +1,8 @@
 //! The responses that the proxy gives itself, and the choice of what a client gets as the final answer.
 
-use crate::errand::Call;
 use crate::request::Fault;
 use crate::rules::Rules;
+use crate::upstream::ForwardedRequest;
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::header::{HeaderValue, RETRY_AFTER};
@@ -13,7 +13,7 @@
 use shaletide_routing::{gets, Decision, Gets};
 
 /// The answer to a request that the record does not let go.
-pub(crate) fn not_let_go(rules: &Rules, verdict: Verdict) -> Result<Response<Full<Bytes>>, Fault> {
+pub(crate) fn record_refusal(rules: &Rules, verdict: Verdict) -> Result<Response<Full<Bytes>>, Fault> {
     match verdict {
         Verdict::Refuse(after) => Ok(refused(rules, after)),
         Verdict::Conflict(conflict) => Ok(conflicting(conflict)),
@@ -43,7 +43,9 @@
 }
 
 /// The final answer as the client gets it.
-pub(crate) fn rendered(rules: &Rules, answer: Answer, call: &Call, safe: bool) -> Response<Full<Bytes>> {
+pub(crate) fn final_response(
+    rules: &Rules, answer: Answer, call: &ForwardedRequest, safe: bool,
+) -> Response<Full<Bytes>> {
     if let (Some(conflict), Decision::Refused(_)) = (answer.conflict, answer.decision) {
         return conflicting(conflict);
     }
--- a/crates/http/src/rules.rs
+++ b/crates/http/src/rules.rs
@@ -9,7 +9,7 @@
 use std::rc::Rc;
 
 /// A first request that has begun to come is whole after this time, or makes way where room is needed.
-pub(crate) const FIRST_PATIENCE: Micros = Micros(100_000);
+pub(crate) const FIRST_REQUEST_PATIENCE: Micros = Micros(100_000);
 
 /// What is checked of a class's requests.
 #[derive(Clone, Debug)]
@@ -172,7 +172,7 @@
             bodies: Measures {
                 rate: Rate { least: def.body_rate, grace: def.body_grace },
                 held: def.held_bodies,
-                patience: FIRST_PATIENCE,
+                patience: FIRST_REQUEST_PATIENCE,
             },
             max_body: def.max_body,
             record: def.record,
--- a/crates/http/src/serve/tests.rs
+++ b/crates/http/src/serve/tests.rs
@@ -13,7 +13,7 @@
 /// A connection at rest is closed by what `serve` does about it. What comes between that and the close is not read any
 /// more, on a new connection or on one that was answered, and whether or not the event loop has heard of it.
 #[tokio::test]
-async fn what_crosses_the_close_of_a_resting_connection_is_not_read() {
+async fn request_that_arrives_during_close_of_an_idle_connection_is_not_read() {
     for (asked, heard) in [(0, false), (0, true), (1, false), (1, true)] {
         let (tcp, mut client) = accepted().await;
         let stream = Stream::new(tcp);
@@ -32,13 +32,13 @@
             assert!(poll.await, "it has ended");
             tokio::task::yield_now().await;
         }
-        assert_eq!((calls.get(), stream.stirred()), (asked, false), "it is at rest");
+        assert_eq!((calls.get(), stream.has_pending_input()), (asked, false), "it is at rest");
         conn.as_mut().graceful_shutdown();
         client.write_all(PAY.as_bytes()).unwrap();
         for _ in 0..if heard { 100 } else { 0 } {
             tokio::task::yield_now().await;
         }
         conn.await.unwrap();
-        assert_eq!((calls.get(), stream.unread()), (asked, true), "after {asked}");
+        assert_eq!((calls.get(), stream.has_unread_bytes()), (asked, true), "after {asked}");
     }
 }
--- a/crates/http/src/testing.rs
+++ b/crates/http/src/testing.rs
@@ -11,9 +11,9 @@
 
 pub(crate) const DEADLINE: Micros = Micros(6_000_000);
 
-/// A front with places for so many, whose one class has a pool with no box in it: requests wait for one until their
+/// A front with so many connection slots, whose one class has a pool with no backend in it: requests wait for one until their
 /// time is up.
-pub(crate) fn without_boxes(max: usize) -> Rc<Server> {
+pub(crate) fn server_without_backends(max: usize) -> Rc<Server> {
     let network = Network {
         connect_timeout: DEADLINE,
         idle_timeout: DEADLINE,
@@ -24,7 +24,7 @@
     let host = Host::new(Clock::new(), network);
     let spec = PoolSpec { name: "p".into(), repeats: None, source: Source::Listed };
     let mut config = Config::example();
-    config.classes[0].aim = Micros(2_000_000); // whoever finds no box is refused well before that, and after 1 s
+    config.classes[0].aim = Micros(2_000_000); // whoever finds no backend is refused well before that, and after 1 s
     let setup = PoolSetup { spec, config };
     let pools = host.setup(Some((&[], &[])), "a", 1, network, vec![setup]).unwrap();
     tokio::task::spawn_local(host.clone().timers());
@@ -63,14 +63,14 @@
 }
 
 /// A client's end of a connection that the front has taken in.
-pub(crate) async fn client(server: &Rc<Server>) -> std::net::TcpStream {
+pub(crate) async fn connect_client(server: &Rc<Server>) -> std::net::TcpStream {
     let (tcp, client) = accepted().await;
-    server.take_in(tcp);
+    server.admit(tcp);
     client
 }
 
 /// All that comes on it until it ends.
-pub(crate) async fn rest(client: std::net::TcpStream) -> String {
+pub(crate) async fn read_to_end(client: std::net::TcpStream) -> String {
     client.set_nonblocking(true).unwrap();
     let (client, mut got, mut chunk) = (TcpStream::from_std(client).unwrap(), Vec::new(), [0; 1024]);
     loop {
--- a/crates/http/src/timer/tests.rs
+++ b/crates/http/src/timer/tests.rs
@@ -14,7 +14,7 @@
 
 /// The loop comes round late, to a request and to the time-out of its head at once: the request is taken.
 #[tokio::test]
-async fn a_request_that_is_there_goes_before_the_time_out_of_its_head() {
+async fn received_request_is_served_although_its_head_timeout_has_passed() {
     for asked in [0, 1] {
         let (tcp, mut client) = accepted().await;
         let stream = Stream::new(tcp);
--- a/crates/http/src/errand.rs
+++ b/crates/http/src/upstream.rs
@@ -7,7 +7,10 @@
 use hyper::header::{HeaderName, HeaderValue, CONNECTION, CONTENT_LENGTH, HOST, TRANSFER_ENCODING};
 use hyper::{HeaderMap, Method, Request, StatusCode, Uri, Version};
 use shaletide_balancer::{AttemptNo, LoadReport};
-use shaletide_net::{driven, strip_hop_by_hop, Errand, Heard, Leg, PeerWatch, Run, Stream};
+use shaletide_net::{
+    driven, strip_hop_by_hop, ExchangeFuture, ExchangeOutcome, ExchangeSpec, PeerWatch, Stream,
+    UpstreamRequest,
+};
 use shaletide_routing::{Answers, Errors, LastAnswer, Verdict};
 use std::cell::RefCell;
 use std::net::SocketAddr;
@@ -18,7 +21,7 @@
 const MAX_HEAD: usize = 32 * 1024;
 
 /// A client's request as it goes on to backends.
-pub struct Call {
+pub struct ForwardedRequest {
     /// Its method.
     pub method: Method,
     /// Path and query.
@@ -34,12 +37,12 @@
     /// What an answer means, by the request's route.
     pub answers: Rc<Answers>,
     /// The answers that its client may get, by attempt.
-    pub got: RefCell<Vec<(AttemptNo, Verdict, Got)>>,
+    pub got: RefCell<Vec<(AttemptNo, Verdict, BackendResponse)>>,
 }
 
 /// A backend's whole answer.
 #[derive(Debug)]
-pub struct Got {
+pub struct BackendResponse {
     /// Its status.
     pub status: StatusCode,
     /// Its headers, but for those of one connection only.
@@ -48,9 +51,9 @@
     pub body: Bytes,
 }
 
-impl Call {
+impl ForwardedRequest {
     /// The answer to an attempt, and what it is as a last answer; once.
-    pub fn take(&self, attempt: AttemptNo) -> Option<(LastAnswer, Got)> {
+    pub fn take(&self, attempt: AttemptNo) -> Option<(LastAnswer, BackendResponse)> {
         let mut all = self.got.borrow_mut();
         let at = all.iter().position(|(no, ..)| *no == attempt)?;
         let (_, verdict, got) = all.swap_remove(at);
@@ -58,27 +61,27 @@
     }
 }
 
-impl Errand for Call {
+impl UpstreamRequest for ForwardedRequest {
     fn client(&self) -> Option<&PeerWatch> {
         self.client.as_ref()
     }
 
-    fn run(self: Rc<Self>, leg: Leg) -> Run {
+    fn run(self: Rc<Self>, spec: ExchangeSpec) -> ExchangeFuture {
         Box::pin(async move {
-            let request = prepared(&self, leg.to, leg.left);
-            leg.stream.begin_request(self.body.len());
-            match exchange(&leg.stream, request, (leg.stall, leg.max_body)).await {
-                Ok(Answered { got, keep, behind }) => {
+            let request = outgoing(&self, spec.to, spec.left);
+            spec.stream.begin_request(self.body.len());
+            match exchange(&spec.stream, request, (spec.stall, spec.max_body)).await {
+                Ok(Answered { got, keep, excess }) => {
                     let header = |name: &str| said_once(&got.headers, name);
                     let verdict = self.answers.judge(got.status.as_u16(), header);
                     let report = self.answers.report.as_deref().and_then(header).map(LoadReport::read);
                     if verdict == Verdict::Served || self.answers.errors == Errors::AsTheyAre {
-                        self.got.borrow_mut().push((leg.attempt, verdict, got));
+                        self.got.borrow_mut().push((spec.attempt, verdict, got));
                     }
-                    Heard::Answered { verdict, keep, behind, report }
+                    ExchangeOutcome::Answered { verdict, keep, excess, report }
                 }
-                Err(Broken::Spoilt) => Heard::Spoilt,
-                Err(Broken::Ended) => Heard::Ended,
+                Err(ExchangeError::Spoilt) => ExchangeOutcome::Spoilt,
+                Err(ExchangeError::Ended) => ExchangeOutcome::Ended,
             }
         })
     }
@@ -92,16 +95,16 @@
 }
 
 /// The request as it goes out on a connection.
-fn prepared(call: &Call, to: SocketAddr, left: Duration) -> Request<Full<Bytes>> {
-    let mut request = Request::new(Full::new(call.body.clone()));
-    *request.method_mut() = call.method.clone();
-    *request.uri_mut() = call.uri.clone();
-    *request.headers_mut() = call.headers.clone();
+fn outgoing(forwarded: &ForwardedRequest, to: SocketAddr, left: Duration) -> Request<Full<Bytes>> {
+    let mut request = Request::new(Full::new(forwarded.body.clone()));
+    *request.method_mut() = forwarded.method.clone();
+    *request.uri_mut() = forwarded.uri.clone();
+    *request.headers_mut() = forwarded.headers.clone();
     if let Ok(text) = format!("{:.3}", left.as_secs_f64()).parse() {
-        request.headers_mut().insert(call.time_left.clone(), text);
+        request.headers_mut().insert(forwarded.time_left.clone(), text);
     }
     // An HTTP/1.0 client need not name a host, but this goes on as HTTP/1.1, which must.
-    if !call.headers.contains_key(HOST) {
+    if !forwarded.headers.contains_key(HOST) {
         if let Ok(host) = HeaderValue::try_from(to.to_string()) {
             request.headers_mut().insert(HOST, host);
         }
@@ -111,13 +114,13 @@
 
 /// A whole answer, and what is to be said of its connection.
 struct Answered {
-    got: Got,
+    got: BackendResponse,
     keep: bool,
-    behind: bool,
+    excess: bool,
 }
 
 /// Why no whole answer came: all of these may have run.
-enum Broken {
+enum ExchangeError {
     /// What came is no answer to anything: too long, cut short, or nothing that can be read.
     Spoilt,
     /// The connection ended.
@@ -129,40 +132,44 @@
 /// had read too much, so that nothing left from one answer can pass for the next.
 async fn exchange(
     stream: &Stream, request: Request<Full<Bytes>>, (stall, max_body): (Option<Duration>, usize),
-) -> Result<Answered, Broken> {
+) -> Result<Answered, ExchangeError> {
     let head_only = request.method() == Method::HEAD;
     let shaken = http1::Builder::new().max_buf_size(MAX_HEAD).handshake(stream.clone()).await;
-    let (mut sender, mut conn) = shaken.map_err(|_| Broken::Ended)?;
+    let (mut sender, mut conn) = shaken.map_err(|_| ExchangeError::Ended)?;
     let work = async {
-        let broken = |e: hyper::Error| if e.is_parse() { Broken::Spoilt } else { Broken::Ended };
+        let broken =
+            |e: hyper::Error| if e.is_parse() { ExchangeError::Spoilt } else { ExchangeError::Ended };
         let (head, body) = sender.send_request(request).await.map_err(broken)?.into_parts();
         // Not asked for, and the last word on this connection: no answer to the request.
         if head.status.is_informational() {
-            return Err(Broken::Spoilt);
+            return Err(ExchangeError::Spoilt);
         }
         let bodiless = head_only || matches!(head.status, StatusCode::NO_CONTENT | StatusCode::NOT_MODIFIED);
         let given = [CONTENT_LENGTH, TRANSFER_ENCODING].map(|name| head.headers.contains_key(name));
         // Only a length tells a whole body from one that broke off, and two ways to tell it may differ.
         if !bodiless && (given[0] == given[1] || body.size_hint().lower() > max_body as u64) {
-            return Err(Broken::Spoilt);
+            return Err(ExchangeError::Spoilt);
         }
         let body = Limited::new(body, max_body).collect().await;
-        let body = body.map_err(|e| if e.is::<hyper::Error>() { Broken::Ended } else { Broken::Spoilt })?;
+        let body =
+            body.map_err(
+                |e| if e.is::<hyper::Error>() { ExchangeError::Ended } else { ExchangeError::Spoilt },
+            )?;
         Ok((head, body.to_bytes(), bodiless))
     };
     let (head, body, bodiless) = tokio::select! {
         biased;
-        done = driven(&mut conn, work) => done.unwrap_or(Err(Broken::Ended))?,
-        _ = attend(stream, stall) => return Err(Broken::Spoilt),
+        done = driven(&mut conn, work) => done.unwrap_or(Err(ExchangeError::Ended))?,
+        _ = watch_response(stream, stall) => return Err(ExchangeError::Spoilt),
     };
-    if stream.is_about_another() {
-        return Err(Broken::Spoilt);
+    if stream.may_answer_previous_request() {
+        return Err(ExchangeError::Spoilt);
     }
     let close =
         head.headers.get_all(CONNECTION).iter().any(|v| !v.as_bytes().eq_ignore_ascii_case(b"keep-alive"));
     let keep = head.version == Version::HTTP_11 && !close;
     stream.mark_idle();
-    let behind = !conn.into_parts().read_buf.is_empty();
+    let excess = !conn.into_parts().read_buf.is_empty();
     let mut headers = head.headers;
     // Without a body the length says what one would have had, and belongs to the answer.
     let length = headers.get(CONTENT_LENGTH).filter(|_| bodiless).cloned();
@@ -170,24 +177,24 @@
     if let Some(length) = length.filter(|_| head.status != StatusCode::NO_CONTENT) {
         headers.insert(CONTENT_LENGTH, length);
     }
-    Ok(Answered { got: Got { status: head.status, headers, body }, keep, behind })
+    Ok(Answered { got: BackendResponse { status: head.status, headers, body }, keep, excess })
 }
 
 /// Looks after an answer that has begun and is not whole: what comes is acknowledged at once, and where the
 /// configuration bounds the time that it may take this ends when that is over. What was noise from the start,
 /// never ends its head or is shorter than it says would else hold its request to the deadline. Answers of
 /// status 1xx are no such beginning.
-async fn attend(stream: &Stream, stall: Option<Duration>) {
+async fn watch_response(stream: &Stream, stall: Option<Duration>) {
     loop {
-        while !stream.final_begun() {
+        while !stream.final_response_begun() {
             stream.next_bytes().await;
         }
-        let informed = stream.informed();
+        let informed = stream.interim_responses();
         // Most answers are whole by the next turn: nothing is to be done for them.
         tokio::task::yield_now().await;
         let parts = async {
             // Until it turns out that this was one of status 1xx.
-            while stream.informed() == informed {
+            while stream.interim_responses() == informed {
                 stream.acknowledge();
                 stream.next_bytes().await;
             }
--- a/crates/http/src/errand/tests.rs
+++ b/crates/http/src/upstream/tests.rs
@@ -1,11 +1,11 @@
-//! Tests of `errand` that need its private items.
+//! Tests of `upstream` that need its private items.
 
 use super::*;
 use std::io::{Read, Write};
 
 /// An answer that stalls has begun all the same: only where the configuration says so is it given up.
 #[tokio::test]
-async fn an_answer_that_stalls_is_spoilt_only_where_a_bound_is_set() {
+async fn stalled_response_is_invalid_only_when_a_stall_timeout_is_set() {
     for stall in [None, Some(Duration::from_millis(40))] {
         let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
         let to = listener.local_addr().unwrap();
@@ -17,7 +17,7 @@
             let _ = peer.write_all(b"sh");
             peer
         });
-        let call = Rc::new(Call {
+        let call = Rc::new(ForwardedRequest {
             method: Method::POST,
             uri: Uri::from_static("/pay/k"),
             headers: HeaderMap::new(),
@@ -29,27 +29,27 @@
         });
         let stream = Stream::new(tokio::net::TcpStream::connect(to).await.unwrap());
         let (attempt, left, max_body) = (AttemptNo(0), Duration::from_secs(20), 64);
-        let leg = Leg { attempt, stream: stream.clone(), to, left, stall, max_body };
-        let heard = call.clone().run(leg).await;
+        let spec = ExchangeSpec { attempt, stream: stream.clone(), to, left, stall, max_body };
+        let outcome = call.clone().run(spec).await;
         assert!(stream.request_written());
         match stall {
             None => {
-                assert!(matches!(heard, Heard::Answered { verdict: Verdict::Served, .. }));
+                assert!(matches!(outcome, ExchangeOutcome::Answered { verdict: Verdict::Served, .. }));
                 assert_eq!(&call.take(attempt).unwrap().1.body[..], b"cash");
                 assert!(call.take(attempt).is_none());
             }
-            Some(_) => assert!(matches!(heard, Heard::Spoilt)),
+            Some(_) => assert!(matches!(outcome, ExchangeOutcome::Spoilt)),
         }
         peer.join().unwrap();
     }
 }
 
-fn call(body: impl Into<Bytes>) -> Rc<Call> {
+fn call(body: impl Into<Bytes>) -> Rc<ForwardedRequest> {
     Rc::new(plain(body))
 }
 
-fn plain(body: impl Into<Bytes>) -> Call {
-    Call {
+fn plain(body: impl Into<Bytes>) -> ForwardedRequest {
+    ForwardedRequest {
         method: Method::POST,
         uri: Uri::from_static("/pay/k"),
         headers: HeaderMap::new(),
@@ -68,25 +68,25 @@
     (stream, to, listener.accept().unwrap().0)
 }
 
-fn leg(stream: &Stream, to: SocketAddr, stall: Option<Duration>) -> Leg {
+fn spec(stream: &Stream, to: SocketAddr, stall: Option<Duration>) -> ExchangeSpec {
     let (attempt, left) = (AttemptNo(0), Duration::from_secs(20));
-    Leg { attempt, stream: stream.clone(), to, left, stall, max_body: 64 }
+    ExchangeSpec { attempt, stream: stream.clone(), to, left, stall, max_body: 64 }
 }
 
 const WHOLE: &[u8] = b"HTTP/1.1 200 X\r\nContent-Length: 4\r\n\r\ncash";
 
 /// The event loop has had no chance to hear of it: the kernel has it all the same, and not a byte goes out.
 #[tokio::test]
-async fn what_lies_in_the_kernel_before_the_first_byte_is_no_answer_to_it() {
+async fn bytes_received_before_the_request_is_written_are_not_its_response() {
     for closes in [false, true] {
         let (stream, to, mut peer) = connected().await;
         match closes {
             false => peer.write_all(WHOLE).unwrap(),
             true => peer.shutdown(std::net::Shutdown::Write).unwrap(),
         }
-        let heard = call("cash").run(leg(&stream, to, None)).await;
-        assert!(matches!(heard, Heard::Ended | Heard::Spoilt), "{heard:?}");
-        assert!(stream.untouched());
+        let outcome = call("cash").run(spec(&stream, to, None)).await;
+        assert!(matches!(outcome, ExchangeOutcome::Ended | ExchangeOutcome::Spoilt), "{outcome:?}");
+        assert!(stream.is_unwritten());
         drop(stream);
         peer.set_read_timeout(Some(Duration::from_secs(20))).unwrap();
         assert_eq!(peer.read(&mut [0; 64]).unwrap_or(0), 0, "nothing was written");
@@ -96,10 +96,10 @@
 /// A body that is too long for the kernel, so that its last byte is not out when the answer comes. On a connection
 /// that has carried another request that may be about the other one; on a new one it cannot.
 #[tokio::test]
-async fn an_answer_that_begins_before_its_request_has_ended_may_be_another_requests() {
+async fn response_begun_before_the_request_is_written_is_invalid_on_a_reused_connection() {
     for used in [false, true] {
         let (stream, to, mut peer) = connected().await;
-        let box_side = std::thread::spawn(move || {
+        let backend = std::thread::spawn(move || {
             for _ in 0..=usize::from(used) {
                 let _ = peer.read(&mut [0; 1024]);
                 peer.write_all(WHOLE).unwrap();
@@ -107,30 +107,30 @@
             peer
         });
         if used {
-            let first = call("cash").run(leg(&stream, to, None)).await;
-            assert!(matches!(first, Heard::Answered { keep: true, .. }), "{first:?}");
+            let first = call("cash").run(spec(&stream, to, None)).await;
+            assert!(matches!(first, ExchangeOutcome::Answered { keep: true, .. }), "{first:?}");
         }
-        let heard = call(vec![0; 64 << 20]).run(leg(&stream, to, None)).await;
+        let outcome = call(vec![0; 64 << 20]).run(spec(&stream, to, None)).await;
         assert!(!stream.request_written());
-        assert_eq!(matches!(heard, Heard::Spoilt), used, "{heard:?}");
-        drop(box_side.join().unwrap());
+        assert_eq!(matches!(outcome, ExchangeOutcome::Spoilt), used, "{outcome:?}");
+        drop(backend.join().unwrap());
     }
 }
 
 /// The loop does other things while the rest of an answer comes: what the kernel has by then is read before the
 /// time is looked at. A drip gets no more than the time from its first byte on.
 #[tokio::test]
-async fn a_late_loop_takes_no_honest_answer_for_spoilt_and_no_drip_for_honest() {
+async fn stall_timeout_is_checked_after_reading_what_the_kernel_has() {
     let stall = Some(Duration::from_millis(40));
     let (stream, to, mut peer) = connected().await;
     let run = tokio::task::LocalSet::new();
-    let mut heard = run
+    let mut outcome = run
         .run_until(async {
-            let task = tokio::task::spawn_local(call("cash").run(leg(&stream, to, stall)));
+            let task = tokio::task::spawn_local(call("cash").run(spec(&stream, to, stall)));
             tokio::task::yield_now().await; // it is written
             let _ = peer.read(&mut [0; 1024]);
             peer.write_all(&WHOLE[..WHOLE.len() - 2]).unwrap();
-            while !stream.final_begun() {
+            while !stream.final_response_begun() {
                 stream.next_bytes().await;
             }
             for _ in 0..4 {
@@ -141,7 +141,7 @@
             task.await.unwrap()
         })
         .await;
-    assert!(matches!(heard, Heard::Answered { .. }), "{heard:?}");
+    assert!(matches!(outcome, ExchangeOutcome::Answered { .. }), "{outcome:?}");
     let (stream, to, mut peer) = connected().await;
     std::thread::spawn(move || {
         for byte in WHOLE.chunks(1) {
@@ -149,14 +149,14 @@
             let _ = peer.write_all(byte);
         }
     });
-    heard = call("cash").run(leg(&stream, to, stall)).await;
-    assert!(matches!(heard, Heard::Spoilt), "{heard:?}");
+    outcome = call("cash").run(spec(&stream, to, stall)).await;
+    assert!(matches!(outcome, ExchangeOutcome::Spoilt), "{outcome:?}");
 }
 
-/// However they come: of what is only announced the time is the box's own, and what has begun gets no more than its
+/// However they come: of what is only announced the time is the backend's own, and what has begun gets no more than its
 /// time. That ran from the announcement, and the rest of the answer was not seen any more.
 #[tokio::test]
-async fn half_an_answer_behind_one_of_status_1xx_is_spoilt_as_any_other() {
+async fn stall_timeout_covers_a_response_after_interim_responses() {
     const EARLY: &str = "HTTP/1.1 103 X\r\n\r\n";
     const HALF: &str = "HTTP/1.1 200 X\r\nContent-Length: 4\r\n\r\nca";
     let stall = Some(Duration::from_millis(40));
@@ -164,7 +164,7 @@
         [vec![[EARLY, HALF].concat()], vec![EARLY.into(), HALF.into()], vec![EARLY.repeat(2), HALF.into()]]
     {
         let (stream, to, mut peer) = connected().await;
-        let box_side = std::thread::spawn(move || {
+        let backend = std::thread::spawn(move || {
             let _ = peer.read(&mut [0; 1024]);
             for part in parts {
                 peer.write_all(part.as_bytes()).unwrap();
@@ -172,29 +172,29 @@
             }
             let _ = peer.read(&mut [0; 1]); // until the proxy gives it up
         });
-        let mut heard = call("cash").run(leg(&stream, to, stall));
-        let found = tokio::time::timeout(Duration::from_secs(20), &mut heard).await;
-        assert!(matches!(found, Ok(Heard::Spoilt)), "{found:?}");
-        drop((heard, stream));
-        box_side.join().unwrap();
+        let mut outcome = call("cash").run(spec(&stream, to, stall));
+        let found = tokio::time::timeout(Duration::from_secs(20), &mut outcome).await;
+        assert!(matches!(found, Ok(ExchangeOutcome::Spoilt)), "{found:?}");
+        drop((outcome, stream));
+        backend.join().unwrap();
     }
     // What is announced alone has no such bound.
     let (stream, to, mut peer) = connected().await;
-    let box_side = std::thread::spawn(move || {
+    let backend = std::thread::spawn(move || {
         let _ = peer.read(&mut [0; 1024]);
         peer.write_all(EARLY.as_bytes()).unwrap();
         std::thread::sleep(Duration::from_millis(120));
         peer.write_all(WHOLE).unwrap();
         peer
     });
-    let heard = call("cash").run(leg(&stream, to, stall)).await;
-    assert!(matches!(heard, Heard::Answered { verdict: Verdict::Served, .. }), "{heard:?}");
-    drop(box_side.join().unwrap());
+    let outcome = call("cash").run(spec(&stream, to, stall)).await;
+    assert!(matches!(outcome, ExchangeOutcome::Answered { verdict: Verdict::Served, .. }), "{outcome:?}");
+    drop(backend.join().unwrap());
 }
 
 /// Of two that differ the first was believed: an unsafe request went out again that may have run.
 #[tokio::test]
-async fn a_proof_that_contradicts_itself_proves_nothing() {
+async fn contradicting_unprocessed_headers_are_ignored() {
     for (said, verdict) in [
         ("X-Unprocessed: 1\r\n", Verdict::NeverRan),
         ("X-Unprocessed: 1\r\nX-Unprocessed: 1\r\n", Verdict::NeverRan),
@@ -205,14 +205,17 @@
         ("", Verdict::Error),
     ] {
         let (stream, to, mut peer) = connected().await;
-        let box_side = std::thread::spawn(move || {
+        let backend = std::thread::spawn(move || {
             let _ = peer.read(&mut [0; 1024]);
             write!(peer, "HTTP/1.1 503 X\r\n{said}Content-Length: 0\r\n\r\n").unwrap();
             peer
         });
-        let asked = Rc::new(Call { answers: Rc::new(Answers::platform()), ..plain("cash") });
-        let heard = asked.run(leg(&stream, to, None)).await;
-        assert!(matches!(heard, Heard::Answered { verdict: v, .. } if v == verdict), "{said:?}: {heard:?}");
-        drop(box_side.join().unwrap());
+        let asked = Rc::new(ForwardedRequest { answers: Rc::new(Answers::platform()), ..plain("cash") });
+        let outcome = asked.run(spec(&stream, to, None)).await;
+        assert!(
+            matches!(outcome, ExchangeOutcome::Answered { verdict: v, .. } if v == verdict),
+            "{said:?}: {outcome:?}"
+        );
+        drop(backend.join().unwrap());
     }
 }
--- a/crates/net/src/errand.rs
+++ b/crates/net/src/exchange.rs
@@ -10,7 +10,7 @@
 use std::time::Duration;
 
 /// One attempt as a front is asked to carry it out.
-pub struct Leg {
+pub struct ExchangeSpec {
     /// Its number, under which the front keeps what comes.
     pub attempt: AttemptNo,
     /// The connection, up and with nothing on it.
@@ -27,7 +27,7 @@
 
 /// What came of it.
 #[derive(Clone, Copy, Debug, PartialEq)]
-pub enum Heard {
+pub enum ExchangeOutcome {
     /// A whole answer.
     Answered {
         /// What it means.
@@ -35,7 +35,7 @@
         /// The connection may be used again for all that the answer says.
         keep: bool,
         /// More came than the answer.
-        behind: bool,
+        excess: bool,
         /// What the backend says of its own load.
         report: Option<LoadReport>,
     },
@@ -46,14 +46,14 @@
 }
 
 /// An attempt under way. Dropped midway it leaves the connection in no defined state: the host closes it.
-pub type Run = Pin<Box<dyn Future<Output = Heard>>>;
+pub type ExchangeFuture = Pin<Box<dyn Future<Output = ExchangeOutcome>>>;
 
 /// A request that a front keeps while the host sends it.
-pub trait Errand {
+pub trait UpstreamRequest {
     /// The client's connection, where the request has one to itself: no attempt begins once the client has closed it.
     fn client(&self) -> Option<&PeerWatch>;
 
     /// Writes the request once and reads its answer. [`Stream::begin_request`] has to be told before the first byte,
     /// so that the host knows when the last one is out.
-    fn run(self: Rc<Self>, leg: Leg) -> Run;
+    fn run(self: Rc<Self>, spec: ExchangeSpec) -> ExchangeFuture;
 }
--- a/crates/net/src/host.rs
+++ b/crates/net/src/host.rs
@@ -1,7 +1,7 @@
 //! The host of the machines and their sole owner: events go in, actions are carried out, always after the
 //! engine's borrow has ended. It holds sockets, payloads and one timer, and decides nothing.
 
-use crate::errand::{Errand, Heard, Leg};
+use crate::exchange::{ExchangeOutcome, ExchangeSpec, UpstreamRequest};
 use crate::lines::{Line, Lines};
 use crate::recording::{Named, Recording};
 use crate::stream::{PeerWatch, Stream};
@@ -87,7 +87,7 @@
 
 /// What is kept for a front while its request is open.
 struct Open {
-    errand: Rc<dyn Errand>,
+    upstream_request: Rc<dyn UpstreamRequest>,
     answer: oneshot::Sender<Answer>,
     /// It is on record, and its attempts want permits.
     recorded: Option<bool>,
@@ -274,10 +274,10 @@
     /// # Errors
     /// Why it is not taken. Nothing is owed then.
     pub fn request(
-        self: &Rc<Self>, mut order: Order, named: Named<'_>, errand: Rc<dyn Errand>,
+        self: &Rc<Self>, mut order: Order, named: Named<'_>, upstream_request: Rc<dyn UpstreamRequest>,
     ) -> Result<(RequestId, oneshot::Receiver<Answer>), NotTaken> {
         // Each attempt asks again: a request that need not be taken costs no decision and no connection.
-        if errand.client().is_some_and(PeerWatch::closed) {
+        if upstream_request.client().is_some_and(PeerWatch::closed) {
             self.state.borrow_mut().counts.gone += 1;
             return Err(NotTaken::ClientClosed);
         }
@@ -297,7 +297,7 @@
                 Some(verdict) => return Err(NotTaken::Record(verdict)),
             };
         let (answer, wait) = oneshot::channel();
-        let open = Open { errand, answer, recorded, conflict: None };
+        let open = Open { upstream_request, answer, recorded, conflict: None };
         self.state.borrow_mut().open.insert(id, open);
         order.arrival.request = id;
         (order.permit, order.recorded) = (recorded == Some(true), recorded.is_some());
@@ -608,7 +608,8 @@
         let line = s.lines.all.get_mut(&conn);
         let fresh = line.as_ref().is_some_and(|line| line.fresh);
         // The kernel itself is asked before the first byte goes out: till then the loop may do other things.
-        let fit = line.filter(|line| line.stream.as_ref().is_some_and(|stream| !stream.stirred_as_told()));
+        let fit = line
+            .filter(|line| line.stream.as_ref().is_some_and(|stream| !stream.has_pending_input_as_polled()));
         let (Some(line), Some(open)) = (fit, s.open.get(&request)) else {
             s.counts.unfit += 1;
             s.events.push_back(unusable(conn, fresh));
@@ -618,21 +619,25 @@
         s.counts.sent += 1;
         let network = self.network.get();
         let (stall, max_body) = (network.answer_stall.map(span), network.max_body);
-        let leg = Leg { attempt, stream: stream.clone(), to: line.to, left: span(left), stall, max_body };
-        stream.begin_nothing(); // until the errand says what it writes, nothing is written
-        stream.write_until(by.map(|by| self.clock.instant(by).into_std()));
-        stream.write_for(open.errand.client().cloned());
-        let (host, run) = (self.clone(), open.errand.clone().run(leg));
+        let exchange =
+            ExchangeSpec { attempt, stream: stream.clone(), to: line.to, left: span(left), stall, max_body };
+        stream.prepare_request(); // until the request says what it writes, nothing is written
+        stream.set_write_deadline(by.map(|by| self.clock.instant(by).into_std()));
+        stream.set_client(open.upstream_request.client().cloned());
+        let (host, run) = (self.clone(), open.upstream_request.clone().run(exchange));
         let task = tokio::task::spawn_local(async move {
-            let heard = run.await;
-            host.heard(conn, request, heard, &stream, fresh);
+            let outcome = run.await;
+            host.exchange_ended(conn, request, outcome, &stream, fresh);
         });
         (line.task, line.busy) = (Some(task.abort_handle()), true);
     }
 
-    fn heard(self: &Rc<Self>, conn: ConnId, request: RequestId, heard: Heard, stream: &Stream, fresh: bool) {
-        let ended = matches!(heard, Heard::Spoilt | Heard::Ended);
-        if ended && stream.untouched() && stream.client_closed() && self.is_open(request) {
+    fn exchange_ended(
+        self: &Rc<Self>, conn: ConnId, request: RequestId, outcome: ExchangeOutcome, stream: &Stream,
+        fresh: bool,
+    ) {
+        let ended = matches!(outcome, ExchangeOutcome::Spoilt | ExchangeOutcome::Ended);
+        if ended && stream.is_unwritten() && stream.client_closed() && self.is_open(request) {
             return self.client_gone(request); // the connection is closed with it, and its backend not blamed
         }
         let written = stream.request_written();
@@ -640,21 +645,21 @@
             let mut s = self.state.borrow_mut();
             let Some(line) = s.lines.all.get_mut(&conn) else { return };
             (line.busy, line.task) = (false, None);
-            match heard {
-                Heard::Answered { verdict, keep, behind, report } => {
+            match outcome {
+                ExchangeOutcome::Answered { verdict, keep, excess, report } => {
                     s.events.extend(report.map(|report| Event::Reported { conn, report }));
-                    Event::Answered { conn, verdict, keep, behind }
+                    Event::Answered { conn, verdict, keep, behind: excess }
                 }
                 // What ended or came before the first byte went out is about an earlier request, if any.
-                Heard::Spoilt | Heard::Ended if stream.untouched() => {
+                ExchangeOutcome::Spoilt | ExchangeOutcome::Ended if stream.is_unwritten() => {
                     s.counts.unfit += 1;
-                    unusable(conn, fresh && !stream.overdue())
+                    unusable(conn, fresh && !stream.write_deadline_passed())
                 }
-                Heard::Spoilt => {
+                ExchangeOutcome::Spoilt => {
                     s.counts.spoilt += 1;
                     Event::Spoilt { conn }
                 }
-                Heard::Ended => {
+                ExchangeOutcome::Ended => {
                     s.counts.ended += 1;
                     Event::Ended { conn }
                 }
@@ -732,8 +737,8 @@
     pub async fn sweep(self: Rc<Self>) {
         loop {
             tokio::time::sleep(SWEEP).await;
-            let stirred = self.state.borrow().lines.stirred();
-            stirred.into_iter().for_each(|conn| self.tell(Event::Unfit { conn }));
+            let unfit = self.state.borrow().lines.with_pending_input();
+            unfit.into_iter().for_each(|conn| self.tell(Event::Unfit { conn }));
             let mut s = self.state.borrow_mut();
             let s = &mut *s;
             if let Some(check) = &mut s.check {
--- a/crates/net/src/host/tests.rs
+++ b/crates/net/src/host/tests.rs
@@ -3,18 +3,18 @@
 mod client_gone;
 
 use super::*;
-use crate::errand::Run;
+use crate::exchange::ExchangeFuture;
 use hyper::rt::Write as _;
 use shaletide_membership::{List, Source};
 
 /// Answers nothing.
 struct Mute;
 
-impl Errand for Mute {
+impl UpstreamRequest for Mute {
     fn client(&self) -> Option<&PeerWatch> {
         None
     }
-    fn run(self: Rc<Self>, _: Leg) -> Run {
+    fn run(self: Rc<Self>, _: ExchangeSpec) -> ExchangeFuture {
         Box::pin(std::future::pending())
     }
 }
@@ -22,18 +22,18 @@
 /// Writes a request and waits for ever; what cannot be written has ended.
 struct Says;
 
-impl Errand for Says {
+impl UpstreamRequest for Says {
     fn client(&self) -> Option<&PeerWatch> {
         None
     }
-    fn run(self: Rc<Self>, mut leg: Leg) -> Run {
+    fn run(self: Rc<Self>, mut leg: ExchangeSpec) -> ExchangeFuture {
         Box::pin(async move {
             leg.stream.begin_request(0);
             let mut stream = std::pin::Pin::new(&mut leg.stream);
             let text = b"GET / HTTP/1.1\r\n\r\n";
             match std::future::poll_fn(|cx| stream.as_mut().poll_write(cx, text)).await {
                 Ok(_) => std::future::pending().await,
-                Err(_) => Heard::Ended,
+                Err(_) => ExchangeOutcome::Ended,
             }
         })
     }
--- a/crates/net/src/host/tests/client_gone.rs
+++ b/crates/net/src/host/tests/client_gone.rs
@@ -70,12 +70,12 @@
     }
 }
 
-impl Errand for Request {
+impl UpstreamRequest for Request {
     fn client(&self) -> Option<&PeerWatch> {
         Some(&self.client)
     }
 
-    fn run(self: Rc<Self>, mut leg: Leg) -> Run {
+    fn run(self: Rc<Self>, mut leg: ExchangeSpec) -> ExchangeFuture {
         Box::pin(async move {
             leg.stream.begin_request(0);
             let mut stream = std::pin::Pin::new(&mut leg.stream);
@@ -85,9 +85,14 @@
                     self.written.set(self.written.get() + 1);
                     let ends = self.ends.take();
                     std::mem::forget(ends.and_then(|(client, end)| client.end(end)));
-                    Heard::Answered { verdict: self.verdict, keep: true, behind: false, report: None }
+                    ExchangeOutcome::Answered {
+                        verdict: self.verdict,
+                        keep: true,
+                        excess: false,
+                        report: None,
+                    }
                 }
-                Err(_) => Heard::Ended,
+                Err(_) => ExchangeOutcome::Ended,
             }
         })
     }
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -3,14 +3,14 @@
 #![forbid(unsafe_code)]
 
 mod driven;
-mod errand;
+mod exchange;
 mod host;
 mod lines;
 mod recording;
 mod stream;
 
 pub use driven::{driven, BoxError};
-pub use errand::{Errand, Heard, Leg, Run};
+pub use exchange::{ExchangeFuture, ExchangeOutcome, ExchangeSpec, UpstreamRequest};
 pub use host::{Answer, Host, Network, NotTaken, PoolSetup};
 pub use recording::{Named, Recording};
 pub use stream::{PeerWatch, Stream};
--- a/crates/net/src/lines.rs
+++ b/crates/net/src/lines.rs
@@ -37,9 +37,9 @@
 
 impl Lines {
     /// Idle ones on which something has come, or that the other side has closed.
-    pub fn stirred(&self) -> Vec<ConnId> {
+    pub fn with_pending_input(&self) -> Vec<ConnId> {
         let idle = self.all.iter().filter(|(_, line)| !line.busy);
-        let stirred = |line: &Line| line.stream.as_ref().is_some_and(Stream::stirred);
-        idle.filter(|(_, line)| stirred(line)).map(|(conn, _)| *conn).collect()
+        let pending = |line: &Line| line.stream.as_ref().is_some_and(Stream::has_pending_input);
+        idle.filter(|(_, line)| pending(line)).map(|(conn, _)| *conn).collect()
     }
 }
--- a/crates/net/src/stream.rs
+++ b/crates/net/src/stream.rs
@@ -14,10 +14,10 @@
 use tokio::sync::Notify;
 
 /// A client that sends more than so many bytes behind its request before it is answered is not heard any longer.
-const MOST_BEHIND: usize = 64 * 1024;
+const MAX_PIPELINED_BYTES: usize = 64 * 1024;
 
 /// And no more of it is read before the connection ends: a body of the longest usual length, and as much again.
-const MOST_DRAINED: usize = 128 * 1024;
+const MAX_DRAINED_BYTES: usize = 128 * 1024;
 
 /// How far a message's head has got. It ends where hyper lets it end: with the first line that is empty, whether
 /// lines end in CRLF or in a bare LF. Empty lines before it count as nothing.
@@ -48,30 +48,30 @@
 
 /// What the first line of an answer of status 1xx begins with, but for the digit at the seventh place. No request's does: a
 /// method has no slash.
-const EARLY_LINE: &[u8; 10] = b"HTTP/1.? 1";
+const INTERIM_LINE: &[u8; 10] = b"HTTP/1.? 1";
 
 /// How many bytes of a head's first line are like that; none once one was not.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-struct EarlyLine(Option<u8>);
+struct InterimLine(Option<u8>);
 
-impl Default for EarlyLine {
-    fn default() -> EarlyLine {
-        EarlyLine(Some(0))
+impl Default for InterimLine {
+    fn default() -> InterimLine {
+        InterimLine(Some(0))
     }
 }
 
-impl EarlyLine {
-    fn then(self, byte: u8) -> EarlyLine {
-        let like = |at: u8| match EARLY_LINE.get(usize::from(at)) {
+impl InterimLine {
+    fn then(self, byte: u8) -> InterimLine {
+        let like = |at: u8| match INTERIM_LINE.get(usize::from(at)) {
             None => Some(at), // whatever follows
             Some(b'?') => byte.is_ascii_digit().then_some(at + 1),
             Some(want) => (byte == *want).then_some(at + 1),
         };
-        EarlyLine(self.0.and_then(like))
+        InterimLine(self.0.and_then(like))
     }
 
-    fn is_early(self) -> bool {
-        self.0 == Some(EARLY_LINE.len() as u8)
+    fn is_interim(self) -> bool {
+        self.0 == Some(INTERIM_LINE.len() as u8)
     }
 }
 
@@ -98,25 +98,25 @@
     /// Bytes of the body still to be written after the head.
     body_left: Cell<usize>,
     /// Not a byte of the present request has gone out.
-    untouched: Cell<bool>,
+    unwritten: Cell<bool>,
     /// Requests begun on it.
     begun: Cell<u64>,
     /// Not a byte of it is written from then on.
-    until: Cell<Option<Instant>>,
+    write_deadline: Cell<Option<Instant>>,
     /// The connection of the client for whom it is sent.
     client: RefCell<Option<PeerWatch>>,
     /// Bytes came before the last byte of the present request had gone out.
-    early: Cell<bool>,
+    response_before_request_end: Cell<bool>,
     /// The same of what was read since `mark_idle`, and the bytes that came behind the head.
     came: Cell<Head>,
-    behind: Cell<usize>,
+    bytes_after_head: Cell<usize>,
     /// How far the first line of that head is the one of an answer of status 1xx, and how many of those have come.
-    early_line: Cell<EarlyLine>,
-    informed: Cell<u64>,
+    interim_line: Cell<InterimLine>,
+    interim_responses: Cell<u64>,
     /// Bytes came behind the last of those.
-    final_begun: Cell<bool>,
+    final_response_begun: Cell<bool>,
     /// Something was read since the last `mark_idle`.
-    heard: Cell<bool>,
+    received: Cell<bool>,
     /// The last read filled its buffer: more may wait in the kernel. Else there was nothing more at that moment.
     full: Cell<bool>,
     /// How often something was read, and told each time.
@@ -128,28 +128,29 @@
     /// Small writes go out at once on it.
     pub fn new(tcp: TcpStream) -> Stream {
         let _ = tcp.set_nodelay(true); // small writes are whole messages here
-        let (out, body_left, heard) = (Cell::new(Head::Whole), Cell::new(0), Cell::new(false));
-        let (came, behind) = (Cell::new(Head::Before), Cell::new(0));
-        let (early_line, informed) = (Cell::new(EarlyLine::default()), Cell::new(0));
-        let final_begun = Cell::new(false);
+        let (out, body_left, received) = (Cell::new(Head::Whole), Cell::new(0), Cell::new(false));
+        let (came, bytes_after_head) = (Cell::new(Head::Before), Cell::new(0));
+        let (interim_line, interim_responses) = (Cell::new(InterimLine::default()), Cell::new(0));
+        let final_response_begun = Cell::new(false);
         let (reads, more, full) = (Cell::new(0), Notify::new(), Cell::new(false));
-        let (untouched, begun, early) = (Cell::new(false), Cell::new(0), Cell::new(false));
-        let (tcp, until, client) = (RefCell::new(tcp), Cell::new(None), RefCell::new(None));
+        let (unwritten, begun, response_before_request_end) =
+            (Cell::new(false), Cell::new(0), Cell::new(false));
+        let (tcp, write_deadline, client) = (RefCell::new(tcp), Cell::new(None), RefCell::new(None));
         Stream(Rc::new(Inner {
             tcp,
             out,
             body_left,
-            untouched,
-            until,
+            unwritten,
+            write_deadline,
             client,
             begun,
-            early,
+            response_before_request_end,
             came,
-            behind,
-            early_line,
-            informed,
-            final_begun,
-            heard,
+            bytes_after_head,
+            interim_line,
+            interim_responses,
+            final_response_begun,
+            received,
             full,
             reads,
             more,
@@ -162,29 +163,29 @@
     }
 
     /// Nothing of a new request is written yet, however long it will be.
-    pub fn begin_nothing(&self) {
+    pub fn prepare_request(&self) {
         self.0.out.set(Head::Before);
         self.0.body_left.set(usize::MAX);
-        self.0.untouched.set(true);
+        self.0.unwritten.set(true);
     }
 
     /// From now on counts the bytes of a new request with a body of that size. Nothing of it is written where
     /// something lies in the kernel by then: the first write fails.
     pub fn begin_request(&self, body: usize) {
-        self.begin_nothing();
+        self.prepare_request();
         self.0.body_left.set(body);
         self.0.begun.set(self.0.begun.get() + 1);
-        self.0.early.set(false);
+        self.0.response_before_request_end.set(false);
     }
 
     /// From now on not a byte is written any more after that time: a request whose last byte has not gone out by then
     /// never runs.
-    pub fn write_until(&self, until: Option<Instant>) {
-        self.0.until.set(until);
+    pub fn set_write_deadline(&self, until: Option<Instant>) {
+        self.0.write_deadline.set(until);
     }
 
     /// Not a byte is written any more once that client has closed its connection, as long as none has been.
-    pub fn write_for(&self, client: Option<PeerWatch>) {
+    pub fn set_client(&self, client: Option<PeerWatch>) {
         self.0.client.replace(client);
     }
 
@@ -194,19 +195,19 @@
     }
 
     /// That time has come.
-    pub fn overdue(&self) -> bool {
-        self.0.until.get().is_some_and(|until| Instant::now() >= until)
+    pub fn write_deadline_passed(&self) -> bool {
+        self.0.write_deadline.get().is_some_and(|until| Instant::now() >= until)
     }
 
     /// Nothing at all of the request was written.
-    pub fn untouched(&self) -> bool {
-        self.0.untouched.get()
+    pub fn is_unwritten(&self) -> bool {
+        self.0.unwritten.get()
     }
 
     /// What came began before the request's last byte was written, and the connection has carried others: it may be
     /// about one of those.
-    pub fn is_about_another(&self) -> bool {
-        self.0.early.get() && self.0.begun.get() > 1
+    pub fn may_answer_previous_request(&self) -> bool {
+        self.0.response_before_request_end.get() && self.0.begun.get() > 1
     }
 
     /// The last byte of the request was written: from then on the backend may run it.
@@ -216,7 +217,7 @@
 
     fn wrote(&self, bytes: &[u8]) {
         let s = &self.0;
-        s.untouched.set(s.untouched.get() && bytes.is_empty());
+        s.unwritten.set(s.unwritten.get() && bytes.is_empty());
         s.body_left.set(s.body_left.get().saturating_sub(behind_head(&s.out, bytes)));
     }
 
@@ -225,15 +226,15 @@
         let mut left = bytes;
         while let [byte, rest @ ..] = left {
             if s.came.get() == Head::Whole {
-                s.behind.set(s.behind.get() + left.len());
+                s.bytes_after_head.set(s.bytes_after_head.get() + left.len());
                 break;
             }
             self.read_of_head(*byte);
             left = rest;
         }
         if !bytes.is_empty() {
-            s.heard.set(true);
-            s.early.set(s.early.get() || !self.request_written());
+            s.received.set(true);
+            s.response_before_request_end.set(s.response_before_request_end.get() || !self.request_written());
             s.reads.set(s.reads.get() + 1);
             s.more.notify_waiters();
         }
@@ -243,51 +244,51 @@
         let s = &self.0;
         let head = s.came.get().then(byte);
         if head != Head::Before {
-            s.early_line.set(s.early_line.get().then(byte));
+            s.interim_line.set(s.interim_line.get().then(byte));
         }
-        let informs = head == Head::Whole && s.early_line.get().is_early();
+        let informs = head == Head::Whole && s.interim_line.get().is_interim();
         if informs {
-            s.early_line.take();
-            s.informed.set(s.informed.get() + 1);
+            s.interim_line.take();
+            s.interim_responses.set(s.interim_responses.get() + 1);
         }
         s.came.set(if informs { Head::Before } else { head });
-        s.final_begun.set(!informs);
+        s.final_response_begun.set(!informs);
     }
 
     /// Answers of status 1xx that have come: another follows each of them.
-    pub fn informed(&self) -> u64 {
-        self.0.informed.get()
+    pub fn interim_responses(&self) -> u64 {
+        self.0.interim_responses.get()
     }
 
     /// Something has come since `mark_idle`, and behind the last answer of status 1xx.
-    pub fn final_begun(&self) -> bool {
-        self.0.final_begun.get()
+    pub fn final_response_begun(&self) -> bool {
+        self.0.final_response_begun.get()
     }
 
     /// More has come than a message with a body of that size. The kernel is asked only where the last read left
     /// something behind: what came after a read that did not is for the next read to find.
-    pub fn surplus(&self, body: usize) -> bool {
-        self.0.behind.get() > body || self.0.full.get() && matches!(self.peek(), Ok(n) if n > 0)
+    pub fn has_excess_bytes(&self, body: usize) -> bool {
+        self.0.bytes_after_head.get() > body || self.0.full.get() && matches!(self.peek(), Ok(n) if n > 0)
     }
 
     /// Until the other side has gone that had sent a message with a body of that size and then more of it, or has sent
     /// far too much. Whoever reads it by hyper hears of the end only as long as nothing came behind the message: from
-    /// then on hyper leaves the stream alone, and what comes is read here and thrown away. It is [`Stream::surplus`]
+    /// then on hyper leaves the stream alone, and what comes is read here and thrown away. It is [`Stream::has_excess_bytes`]
     /// all the same, after which the connection ends: nothing of it may pass for a message.
-    pub async fn deserted(&self, body: usize) {
+    pub async fn closed_after_excess(&self, body: usize) {
         let s = &self.0;
-        while s.behind.get() <= body {
+        while s.bytes_after_head.get() <= body {
             s.more.notified().await;
         }
         // hyper and this are polled in one task, and the last to ask wakes it for both.
-        self.discard(&s.behind, body + MOST_BEHIND).await;
+        self.discard(&s.bytes_after_head, body + MAX_PIPELINED_BYTES).await;
     }
 
     /// Reads what still comes and throws it away, until the other side has ended too or has sent far too much. Only
     /// where nobody reads any more. A stream that is dropped with bytes unread is reset, and that may take along what
     /// was written to it before.
-    pub async fn drained(&self) {
-        self.discard(&Cell::new(0), MOST_DRAINED).await;
+    pub async fn drain(&self) {
+        self.discard(&Cell::new(0), MAX_DRAINED_BYTES).await;
     }
 
     /// Reads and throws away until the other side has ended, or more has come when the count is over `most`: it goes up
@@ -311,11 +312,11 @@
 
     /// From now on what comes is a message of its own.
     pub fn mark_idle(&self) {
-        self.0.heard.set(false);
+        self.0.received.set(false);
         self.0.came.set(Head::Before);
-        self.0.behind.set(0);
-        self.0.early_line.take();
-        self.0.final_begun.set(false);
+        self.0.bytes_after_head.set(0);
+        self.0.interim_line.take();
+        self.0.final_response_begun.set(false);
     }
 
     /// Until something is read from now on.
@@ -334,20 +335,20 @@
     }
 
     /// Bytes came since `mark_idle`, or wait in the kernel, or the other side has closed.
-    pub fn stirred(&self) -> bool {
-        self.0.heard.get() || !self.peek().is_err_and(|e| e.kind() == io::ErrorKind::WouldBlock)
+    pub fn has_pending_input(&self) -> bool {
+        self.0.received.get() || !self.peek().is_err_and(|e| e.kind() == io::ErrorKind::WouldBlock)
     }
 
     /// Bytes wait in the kernel: nobody knows yet what they are.
-    pub fn unread(&self) -> bool {
+    pub fn has_unread_bytes(&self) -> bool {
         matches!(self.peek(), Ok(n) if n > 0)
     }
 
-    /// The same as [`Stream::stirred`], as far as the event loop has heard of it: no call to the kernel where it has heard of nothing.
+    /// The same as [`Stream::has_pending_input`], as far as the event loop has heard of it: no call to the kernel where it has heard of nothing.
     /// Only for a stream on which nobody waits for bytes: whoever did would not be woken any more.
-    pub fn stirred_as_told(&self) -> bool {
+    pub fn has_pending_input_as_polled(&self) -> bool {
         let told = self.0.tcp.borrow().poll_read_ready(&mut Context::from_waker(Waker::noop()));
-        self.0.heard.get() || told.is_ready() && self.stirred()
+        self.0.received.get() || told.is_ready() && self.has_pending_input()
     }
 
     /// The other side has closed its connection, or its sending on it, or has reset it, by what the kernel has at this
@@ -416,14 +417,14 @@
         loop {
             let tcp = self.0.tcp.borrow();
             ready!(tcp.poll_write_ready(cx))?;
-            if self.overdue() {
+            if self.write_deadline_passed() {
                 return Poll::Ready(Err(io::ErrorKind::TimedOut.into()));
             }
-            if self.0.untouched.get() && self.client_closed() {
+            if self.0.unwritten.get() && self.client_closed() {
                 return Poll::Ready(Err(io::ErrorKind::ConnectionAborted.into()));
             }
             // A close that lies unread there would make of this a request that may have run, and an answer its own.
-            if self.0.untouched.get() && self.stirred() {
+            if self.0.unwritten.get() && self.has_pending_input() {
                 return Poll::Ready(Err(io::ErrorKind::ConnectionAborted.into()));
             }
             match tcp.try_write(buf) {
--- a/crates/net/src/stream/tests.rs
+++ b/crates/net/src/stream/tests.rs
@@ -44,15 +44,15 @@
         let (mut stream, mut peer) = pair().await;
         let whole = vec![b'x'; 64 << 20]; // more than the kernel holds
         stream.begin_request(whole.len());
-        stream.write_until(Some(Instant::now() + std::time::Duration::from_secs(600)));
+        stream.set_write_deadline(Some(Instant::now() + std::time::Duration::from_secs(600)));
         write(&mut stream, b"POST / HTTP/1.1\r\n\r\n").await;
         let mut sent = 0;
         let mut cx = Context::from_waker(Waker::noop());
         while let Poll::Ready(n) = Pin::new(&mut stream).poll_write(&mut cx, &whole[sent..]) {
             sent += n.unwrap();
         }
-        assert!(!stream.untouched() && !stream.overdue());
-        stream.write_until(late.then(Instant::now));
+        assert!(!stream.is_unwritten() && !stream.write_deadline_passed());
+        stream.set_write_deadline(late.then(Instant::now));
         let reads = std::thread::spawn(move || std::io::copy(&mut peer, &mut std::io::sink()).unwrap());
         let mut failed = None;
         while sent < whole.len() && failed.is_none() {
@@ -113,22 +113,26 @@
         for cut in 0..=all.len() {
             let (stream, _peer) = pair().await;
             stream.read(&all.as_bytes()[..cut]);
-            assert_eq!(stream.informed() == heads, cut >= head.len(), "{cut} of {all:?}");
+            assert_eq!(stream.interim_responses() == heads, cut >= head.len(), "{cut} of {all:?}");
             assert_eq!(
-                stream.final_begun() && stream.informed() == heads,
+                stream.final_response_begun() && stream.interim_responses() == heads,
                 cut > head.len(),
                 "{cut} of {all:?}"
             );
             stream.read(&all.as_bytes()[cut..]);
-            assert_eq!((stream.informed(), stream.0.behind.get()), (heads, 4), "{cut} of {all:?}");
+            assert_eq!(
+                (stream.interim_responses(), stream.0.bytes_after_head.get()),
+                (heads, 4),
+                "{cut} of {all:?}"
+            );
             stream.mark_idle();
-            assert!(!stream.final_begun());
+            assert!(!stream.final_response_begun());
         }
     }
     for other in ["HTTP/1.1 200 OK\r\n\r\n", "POST /1.1 100 HTTP/1.1\r\n\r\n", "HTTP/1.1  100 X\r\n\r\n"] {
         let (stream, _peer) = pair().await;
         stream.read(other.as_bytes());
-        assert_eq!((stream.informed(), stream.final_begun()), (0, true), "{other:?}");
+        assert_eq!((stream.interim_responses(), stream.final_response_begun()), (0, true), "{other:?}");
     }
 }
 
@@ -136,10 +140,10 @@
 #[tokio::test]
 async fn what_the_other_side_does_is_seen_at_once() {
     let (stream, mut peer) = pair().await;
-    assert!(!stream.stirred());
+    assert!(!stream.has_pending_input());
     peer.write_all(b"x").unwrap();
-    assert!(stream.stirred());
+    assert!(stream.has_pending_input());
     let (stream, peer) = pair().await;
     drop(peer);
-    assert!(stream.stirred());
+    assert!(stream.has_pending_input());
 }
