Split Server::proxy into steps

One function of 90 lines read the head and the body, built the order, called the host and judged the answer. It is now proxy (head, body, checks), outgoing (the request as the host gets it) and forward (the host's answer), with reject, is_crowded, before_stop and end_connection beside them. The order of the checks is the same.

--- a/crates/http/src/proxy.rs
+++ b/crates/http/src/proxy.rs
@@ -1,8 +1,8 @@
-//! From a request to its response: the request is read and checked, handed to the host, and answered.
+//! From a request to its response: check the head, read the body, hand it to the host and render the answer.
 
 use crate::bodies::{BodyError, IncomingBody};
 use crate::connection::Client;
-use crate::request::{check_probe, check_target, number, read_head, Fault};
+use crate::request::{check_probe, check_target, number, read_head, Fault, ParsedHead};
 use crate::request_id::IdGuard;
 use crate::response::{final_response, plain, record_refusal, refused};
 use crate::rules::Rules;
@@ -20,40 +20,47 @@
 use std::cell::RefCell;
 use std::rc::Rc;
 
-/// When a request had better come again for whose body there was no room: the slow ones are gone by then.
+/// Retry advice for a request for whose body there was no room: slow bodies have ended by then.
 const NO_ROOM_RETRY_AFTER: Micros = Micros(1_000_000);
 
 impl Server {
+    /// Answers a request. The response says `Connection: close` where the connection ends with it.
     pub(crate) async fn answer(
         self: &Rc<Self>, client: &Rc<Client>, request: Request<Incoming>,
     ) -> Response<Full<Bytes>> {
-        let (mut end, rules) = (false, self.rules());
+        let rules = self.rules();
         let (head, body) = request.into_parts();
-        let answer = match (check_target(&head), head.uri.path()) {
+        let result = match (check_target(&head), head.uri.path()) {
             (Err(fault), _) => Err(fault),
             (Ok(()), "/-/ready") => ready(client, &rules, &head, &body),
             (Ok(()), _) => self.proxy(client, &rules, head, body).await,
         };
-        let mut answer = answer.unwrap_or_else(|fault| {
-            self.rejected.set(self.rejected.get() + 1);
-            end = true; // what comes next on it may be no request at all
-            let (status, text) = fault.answer(&rules);
-            let mut answer = plain(status, text);
-            if let Some(Ok(methods)) = fault.allow(&rules).map(HeaderValue::try_from) {
-                answer.headers_mut().insert(ALLOW, methods);
-            }
-            answer
-        });
-        // Where many are kept their clients may have none left to ask on: each goes after its answer.
-        let many = || self.counters.proven.get() > self.max_clients / 2 || self.active() > self.max_clients;
-        // One that was chosen to make room as its body came whole was served, and has no place any more.
-        if end || client.is_evicted() || self.stop_deadline.get().is_some() || many() {
-            answer.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+        // What follows an invalid request on its connection may be no request at all.
+        let is_invalid = result.is_err();
+        let mut response = result.unwrap_or_else(|fault| self.reject(&rules, fault));
+        // A request may be complete, and is served, just as its connection is evicted.
+        if is_invalid || client.is_evicted() || self.stop_deadline.get().is_some() || self.is_crowded() {
+            end_connection(&mut response);
+        }
+        response
+    }
+
+    fn reject(&self, rules: &Rules, fault: Fault) -> Response<Full<Bytes>> {
+        self.rejected.set(self.rejected.get() + 1);
+        let (status, text) = fault.answer(rules);
+        let mut response = plain(status, text);
+        if let Some(Ok(methods)) = fault.allow(rules).map(HeaderValue::try_from) {
+            response.headers_mut().insert(ALLOW, methods);
         }
-        answer
+        response
     }
 
-    /// The body of a request, whole by then, and the room that it holds.
+    /// So many connections are in use that each ends after its response, to free slots for other clients.
+    fn is_crowded(&self) -> bool {
+        self.counters.proven.get() > self.max_clients / 2 || self.active() > self.max_clients
+    }
+
+    /// Reads the whole body of a request. The memory that it reserves is freed with the second value.
     async fn body(
         self: &Rc<Self>, client: &Rc<Client>, until: Time, body: Incoming,
     ) -> Result<(Bytes, Option<IncomingBody>), BodyError> {
@@ -61,40 +68,53 @@
             return Ok((Bytes::new(), None));
         }
         let incoming = IncomingBody::new(self, client, &body)?;
-        let whole = incoming.whole(until, body).await;
-        let count = match &whole {
-            Err(BodyError::NoRoom) => &self.bodies_without_room,
-            Err(BodyError::Fault(Fault::Slow)) => &self.slow_bodies,
-            _ => return whole.map(|bytes| (bytes, Some(incoming))),
+        let read = incoming.whole(until, body).await;
+        let count = match &read {
+            Err(BodyError::NoRoom) => Some(&self.bodies_without_room),
+            Err(BodyError::Fault(Fault::Slow)) => Some(&self.slow_bodies),
+            _ => None,
         };
-        count.set(count.get() + 1);
-        whole.map(|bytes| (bytes, Some(incoming)))
+        if let Some(count) = count {
+            count.set(count.get() + 1);
+        }
+        read.map(|bytes| (bytes, Some(incoming)))
     }
 
+    /// Checks a request, reads its body and forwards it.
     async fn proxy(
         self: &Rc<Self>, client: &Rc<Client>, rules: &Rules, head: Parts, body: Incoming,
     ) -> Result<Response<Full<Bytes>>, Fault> {
-        let came = self.host.clock.now();
+        let received = self.host.clock.now();
         let parsed = read_head(rules, &head, &body)?;
-        let deadline = came + Micros(parsed.left.0.saturating_sub(self.host.margin().0));
-        let until = came + parsed.left.min(rules.body_timeout);
-        let until = self.stop_deadline.get().map_or(until, |last| until.min(last));
-        let (body, _room) = match self.body(client, until, body).await {
+        let deadline = received + Micros(parsed.left.0.saturating_sub(self.host.margin().0));
+        let body_deadline = self.before_stop(received + parsed.left.min(rules.body_timeout));
+        let (body, _reserved) = match self.body(client, body_deadline, body).await {
             Ok(body) => body,
             Err(BodyError::Fault(fault)) => return Err(fault),
             Err(BodyError::NoRoom) => {
-                let mut answer = refused(rules, NO_ROOM_RETRY_AFTER);
-                answer.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
-                return Ok(answer);
+                let mut response = refused(rules, NO_ROOM_RETRY_AFTER);
+                end_connection(&mut response);
+                return Ok(response);
             }
         };
-        // A client waits for its answer before it sends more: this one's length is wrong or hides a request.
+        // A client sends nothing before it has its response: the length is wrong, or a request is hidden in the body.
         if client.stream.has_excess_bytes(body.len()) {
             return Err(Fault::Length);
         }
-        // Asked for now: the program may have been told to stop while the body came.
-        let deadline = self.stop_deadline.get().map_or(deadline, |last| deadline.min(last));
-        let (tenant, key) = (parsed.tenant_name, parsed.key);
+        // Shutdown may have begun while the body was read.
+        let outgoing = self.outgoing(client, rules, head, parsed, body, self.before_stop(deadline))?;
+        self.forward(client, rules, outgoing).await
+    }
+
+    /// No later than the end of the shutdown, if there is one.
+    fn before_stop(&self, deadline: Time) -> Time {
+        self.stop_deadline.get().map_or(deadline, |stop| deadline.min(stop))
+    }
+
+    /// The request as the host is given it.
+    fn outgoing(
+        &self, client: &Client, rules: &Rules, head: Parts, parsed: ParsedHead, body: Bytes, deadline: Time,
+    ) -> Result<Outgoing, Fault> {
         let mut headers = head.headers;
         let arrival = Arrival {
             request: RequestId(0),
@@ -116,9 +136,9 @@
         };
         let origin = head.uri.path_and_query().map(|p| p.as_str().parse());
         let uri = origin.and_then(Result::ok).ok_or(Fault::Target)?;
-        let size = body.len();
-        let to = rules.directions.get(parsed.route.0).ok_or(Fault::NoRoute)?;
+        let directions = rules.directions.get(parsed.route.0).ok_or(Fault::NoRoute)?;
         let effect = rules.classes[parsed.class.0].effect;
+        let pools = directions.pools.clone();
         let forwarded = Rc::new(ForwardedRequest {
             method: head.method,
             uri,
@@ -126,43 +146,69 @@
             body,
             client: Some(client.stream.watch()),
             time_left: rules.time_left.clone(),
-            answers: to.answers.clone(),
+            answers: directions.answers.clone(),
             got: RefCell::default(),
         });
+        let order = Order { arrival, effect, pools, permit: false, recorded: false };
+        Ok(Outgoing { id, deadline, order, tenant: parsed.tenant_name, key: parsed.key, forwarded })
+    }
+
+    /// Hands a request to the host and waits for its answer.
+    async fn forward(
+        self: &Rc<Self>, client: &Client, rules: &Rules, outgoing: Outgoing,
+    ) -> Result<Response<Full<Bytes>>, Fault> {
+        let Outgoing { id, deadline, order, tenant, key, forwarded } = outgoing;
         let _id_guard = IdGuard::new(&self.open_ids, id).ok_or(Fault::IdInUse)?;
         client.prove();
         self.latest_deadline.set(self.latest_deadline.get().max(deadline));
-        let order = Order { arrival, effect, pools: to.pools.clone(), permit: false, recorded: false };
+        let is_safe = order.effect == Effect::Free;
         let named = Named {
             tenant: tenant.as_deref().unwrap_or_default(),
-            class: &rules.classes[parsed.class.0].name,
+            class: &rules.classes[order.arrival.class.0].name,
             key: key.as_deref().map(str::as_bytes),
         };
-        let (id, answer) = match self.host.request(order, named, forwarded.clone()) {
+        let (request, answer) = match self.host.request(order, named, forwarded.clone()) {
             Ok(accepted) => accepted,
             Err(NotTaken::Record(verdict)) => return record_refusal(rules, verdict),
             Err(NotTaken::ClientClosed) => return Err(Fault::ClientClosed),
         };
-        let mut guard = RequestGuard { host: &self.host, id, open: true };
+        let body_length = forwarded.body.len();
+        let mut guard = RequestGuard { host: &self.host, id: request, open: true };
         let answer = tokio::select! {
             biased;
             answer = answer => answer,
-            // As `guard` is dropped nothing of the request goes out any more.
-            () = client.stream.closed_after_excess(size) => return Err(Fault::Length),
+            // Dropping the guard withdraws the request.
+            () = client.stream.closed_after_excess(body_length) => return Err(Fault::Length),
         };
         guard.open = false;
-        let mut answer = match answer {
-            Ok(answer) => final_response(rules, answer, &forwarded, effect == Effect::Free),
+        let mut response = match answer {
+            Ok(answer) => final_response(rules, answer, &forwarded, is_safe),
             Err(_) => plain(StatusCode::GATEWAY_TIMEOUT, "timed out\n"),
         };
-        // It was not there when the request was taken, and it came before the answer: see above.
-        if client.stream.has_excess_bytes(size) {
-            answer.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+        // Excess bytes that arrived while the request was open.
+        if client.stream.has_excess_bytes(body_length) {
+            end_connection(&mut response);
         }
-        Ok(answer)
+        Ok(response)
     }
 }
 
+/// A request that is ready for the host.
+struct Outgoing {
+    id: HeaderValue,
+    deadline: Time,
+    order: Order,
+    tenant: Option<String>,
+    key: Option<String>,
+    forwarded: Rc<ForwardedRequest>,
+}
+
+/// The connection ends after this response.
+fn end_connection(response: &mut Response<Full<Bytes>>) {
+    response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+}
+
+/// Answers the probe whether the proxy is ready.
 fn ready(
     client: &Client, rules: &Rules, head: &Parts, body: &Incoming,
 ) -> Result<Response<Full<Bytes>>, Fault> {
@@ -173,7 +219,7 @@
     Ok(plain(StatusCode::OK, "ready\n"))
 }
 
-/// Tells the host when hyper drops an unanswered request because its client is gone.
+/// Withdraws a request when hyper drops it unanswered because its client has closed the connection.
 struct RequestGuard<'a> {
     host: &'a Rc<Host>,
     id: RequestId,
