Write the HTTP crate's doc comments in ordinary technical English

They were in the wording of the earlier house style. Public and crate-visible items that had none have one; no code changes but the name of a variable.

--- a/crates/http/src/accept.rs
+++ b/crates/http/src/accept.rs
@@ -1,4 +1,4 @@
-//! Accepts connections, as many as there is room for, and has each served by a task of its own.
+//! The accept loop: admits connections up to the limit, and serves each in a task of its own.
 
 use crate::connection::Client;
 use crate::listener::accept_any;
@@ -11,17 +11,18 @@
 use tokio::net::{TcpListener, TcpStream};
 use tracing::warn;
 
-/// Connections over the bound, out of the reserve: each is closed after its answer.
+/// Connections accepted beyond the limit, on descriptors of the reserve: each is closed after its response.
 pub(crate) const EXTRA_CONNECTIONS: usize = 24;
-/// Turns of the event loop after which what has come on a new connection is read: it is told, read, and served.
+/// Turns of the event loop after which the first request on a new connection has been read, if it was there.
 pub(crate) const READ_TURNS: usize = 4;
-/// Lines about a failing listener come no faster.
+/// Accept errors are logged at most this often.
 const ACCEPT_LOG_INTERVAL: Micros = Micros(1_000_000);
 
 impl Server {
+    /// Accepts one connection, after evicting others where the limit is reached.
     pub(crate) async fn accept(self: &Rc<Self>, listeners: &[TcpListener]) {
         while self.clients() >= self.max_clients + EXTRA_CONNECTIONS {
-            // They were accepted in one go: none of them was read yet, and each may have a request.
+            // They may all have been accepted in one turn, unread: each may have sent a request.
             for _ in 0..READ_TURNS {
                 while self.active() > self.max_clients && self.evict_one() {}
                 if self.active() <= self.max_clients {
@@ -29,13 +30,13 @@
                 }
                 tokio::task::yield_now().await;
             }
-            // Those that were told to leave have to be given the time: telling more makes no room sooner.
+            // Evicted connections need time to end; evicting more would not free a slot sooner.
             let _ = tokio::time::timeout(Duration::from_millis(20), self.connection_ended.notified()).await;
         }
         match accept_any(listeners, self.next_connection.get()).await {
             Ok((tcp, _)) => self.admit(tcp),
             Err(e) => {
-                // Out of descriptors, or a client that left in the queue: never the end of the program.
+                // Out of descriptors, or a client that closed while it was queued: never fatal.
                 let made_room = self.evict_one() || self.host.make_room();
                 let now = self.host.clock.now();
                 if now - self.accept_logged.get() >= ACCEPT_LOG_INTERVAL {
@@ -49,6 +50,7 @@
         }
     }
 
+    /// Takes a connection in and serves it in a task of its own.
     pub(crate) fn admit(self: &Rc<Self>, tcp: TcpStream) {
         if self.active() >= self.max_clients {
             self.evict_one();
--- a/crates/http/src/bodies.rs
+++ b/crates/http/src/bodies.rs
@@ -1,4 +1,4 @@
-//! Bodies of requests as they come: a thin shell over `admission::Bodies`, which says who is read and who has to go.
+//! Reads request bodies: a thin shell over `admission::Bodies`, which decides which body is read and which is evicted.
 
 use crate::connection::Client;
 use crate::request::Fault;
@@ -11,19 +11,18 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-/// Whoever stands in line looks this often whether somebody has to make room.
+/// How often a waiting request asks whether another body can be evicted for its own.
 const EVICTION_CHECK_INTERVAL: Duration = Duration::from_millis(20);
 
-/// Why a body is not whole.
+/// Why a body was not read completely.
 pub(crate) enum BodyError {
-    /// By its client's doing, or to make room.
+    /// The client's fault, or evicted.
     Fault(Fault),
-    /// None of it was read, as there was no room in its time: a retry is harmless.
+    /// Nothing of it was read, as there was no room in time: a retry is harmless.
     NoRoom,
 }
 
-/// A body that is read, and then the room that it holds until its request is answered. Dropped at any moment it gives
-/// its room back.
+/// A body being read, and the memory it reserves until its request is answered. Dropping it frees that at any time.
 pub(crate) struct IncomingBody {
     server: Rc<Server>,
     client: Rc<Client>,
@@ -32,10 +31,10 @@
 }
 
 impl IncomingBody {
-    /// Of the length that its head names.
+    /// Reserves room for a body of the length that the request's head gives.
     ///
     /// # Errors
-    /// Where it names none; heads are checked for that before.
+    /// Where it gives none; heads are checked for that before.
     pub fn new(server: &Rc<Server>, client: &Rc<Client>, body: &Incoming) -> Result<IncomingBody, BodyError> {
         let length = body.size_hint().exact().ok_or(BodyError::Fault(Fault::Length))? as usize;
         let id = server.bodies.borrow_mut().begin(server.host.clock.now(), length);
@@ -43,10 +42,10 @@
         Ok(IncomingBody { server: server.clone(), client: client.clone(), id, length })
     }
 
-    /// All of it, by then. Dropped midway it leaves nothing behind but its place, which goes with `self`.
+    /// Reads it completely by `until`. May be dropped midway.
     ///
     /// # Errors
-    /// Why it is not whole.
+    /// Why it was not read completely.
     pub async fn whole(&self, until: Time, mut body: Incoming) -> Result<Bytes, BodyError> {
         self.enter(until).await?;
         self.client.body_since.set(Some(self.now()));
@@ -61,7 +60,7 @@
         self.server.host.clock.now()
     }
 
-    /// Until it may be read.
+    /// Waits until it may be read.
     async fn enter(&self, until: Time) -> Result<(), BodyError> {
         loop {
             let now = self.now();
@@ -82,7 +81,7 @@
         loop {
             let due = self.server.bodies.borrow().due(self.id).map_or(until, |due| due.min(until));
             let frame = tokio::select! {
-                biased; // what is there is taken before the time is asked, and no timer is set for it
+                biased; // bytes that are there are read before the time is checked, and set no timer
                 frame = body.frame() => frame,
                 () = self.client.body_changed.notified() => {
                     let is_in = self.server.bodies.borrow().entry(self.id) == Entry::In;
@@ -100,7 +99,7 @@
                 return Ok(part);
             }
             if parts.is_empty() {
-                parts.reserve(self.length); // touched as it comes
+                parts.reserve(self.length); // the kernel maps its pages as they are written
             }
             parts.extend_from_slice(&part);
             if parts.len() == self.length {
@@ -119,7 +118,7 @@
 }
 
 impl Server {
-    /// Tells those whose bodies were let in, and one that has to make room.
+    /// Wakes the readers of the bodies that were admitted, and of the one that was evicted.
     fn notify_senders(&self, pushed: Option<BodyId>) {
         let let_in = self.bodies.borrow_mut().let_in();
         let body_senders = self.body_senders.borrow();
--- a/crates/http/src/connection.rs
+++ b/crates/http/src/connection.rs
@@ -1,4 +1,4 @@
-//! A client's connection and what is known about it.
+//! A client's connection, its state and the counters that all connections share.
 
 use shaletide_balancer::Time;
 use shaletide_net::Stream;
@@ -6,35 +6,41 @@
 use std::rc::Rc;
 use tokio::sync::Notify;
 
-/// How many clients were not told to leave, and how many of these have sent a whole request that made sense.
+/// Counts of the connections that hold a slot.
 #[derive(Default)]
 pub(crate) struct ConnectionCounters {
+    /// All of them.
     pub(crate) active: Cell<usize>,
+    /// Those that have sent a complete and valid request.
     pub(crate) proven: Cell<usize>,
 }
 
+/// A client's connection.
 pub(crate) struct Client {
     pub(crate) stream: Stream,
     counters: Rc<ConnectionCounters>,
+    /// A request of it is being answered.
     pub(crate) busy: Cell<bool>,
-    /// It has sent a whole request that made sense.
+    /// It has sent a complete and valid request.
     pub(crate) proven: Cell<bool>,
-    /// It was answered once.
+    /// At least one request on it was answered.
     pub(crate) answered: Cell<bool>,
-    /// Its last answer said that the connection ends.
+    /// Its last response said `Connection: close`.
     pub(crate) announced_close: Cell<bool>,
     /// When it was accepted or last answered.
     pub(crate) idle_since: Cell<Time>,
-    /// It was chosen to make room.
+    /// It holds no slot any more: it was chosen for eviction, or has ended.
     pub(crate) evicted: Cell<bool>,
+    /// Wakes the task that serves it to close it, now or after its next response.
     pub(crate) close_requested: Notify,
-    /// The body of its request has been coming since then; nothing is owed for it yet.
+    /// When reading the body of its request began; `None` once that is complete.
     pub(crate) body_since: Cell<Option<Time>>,
-    /// Something about that body has changed.
+    /// Wakes the reader of that body: it was admitted or evicted.
     pub(crate) body_changed: Notify,
 }
 
 impl Client {
+    /// A connection that takes a slot.
     pub(crate) fn new(stream: Stream, idle_since: Cell<Time>, counters: Rc<ConnectionCounters>) -> Client {
         counters.active.set(counters.active.get() + 1);
         let (busy, proven, evicted) = (Cell::new(false), Cell::new(false), Cell::new(false));
@@ -55,19 +61,19 @@
         }
     }
 
-    /// It has sent a whole request that made sense.
+    /// Notes that it has sent a complete and valid request.
     pub(crate) fn prove(&self) {
         if !self.proven.replace(true) && !self.evicted.get() {
             self.counters.proven.set(self.counters.proven.get() + 1);
         }
     }
 
-    /// It was chosen to make room.
+    /// Whether it was chosen for eviction.
     pub(crate) fn is_evicted(&self) -> bool {
         self.evicted.get()
     }
 
-    /// It is to make room.
+    /// Frees its slot, once, while it may still be open.
     pub(crate) fn release_slot(&self) {
         if !self.evicted.replace(true) {
             self.counters.active.set(self.counters.active.get() - 1);
--- a/crates/http/src/listener.rs
+++ b/crates/http/src/listener.rs
@@ -4,12 +4,13 @@
 use std::task::Poll;
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
 
+/// Length of the kernel's accept queue.
 const BACKLOG: u32 = 1024;
 
-/// Listens there, also while connections of an earlier process linger.
+/// Opens a listening socket, also while connections of an earlier process linger in the kernel.
 ///
 /// # Errors
-/// What the kernel says.
+/// Those of the system calls.
 pub fn listen(at: SocketAddr) -> std::io::Result<TcpListener> {
     let socket = if at.is_ipv4() { TcpSocket::new_v4()? } else { TcpSocket::new_v6()? };
     socket.set_reuseaddr(true)?; // a restart comes back while old connections still linger
@@ -17,8 +18,8 @@
     socket.listen(BACKLOG)
 }
 
-/// The next connection of any of them. Who is asked first moves on with the count: one address to which connections
-/// never cease to come does not keep the others' waiting.
+/// Accepts the next connection from any of the listeners. They are asked in rotation by `count`, so that one busy
+/// address does not starve the others.
 pub(crate) async fn accept_any(
     listeners: &[TcpListener], count: u64,
 ) -> std::io::Result<(TcpStream, SocketAddr)> {
--- a/crates/http/src/request_id.rs
+++ b/crates/http/src/request_id.rs
@@ -1,4 +1,4 @@
-//! Ids of requests: those that the proxy gives, and those that are in use.
+//! Request ids: generated for requests without one, and unique among open requests.
 
 use crate::server::Server;
 use hyper::header::HeaderValue;
@@ -6,9 +6,9 @@
 use std::collections::HashSet;
 
 impl Server {
-    /// An id for a request that brings none, different from all that were given before.
+    /// Generates an id for a request without one, different from all generated before.
     pub(crate) fn give_id(&self) -> Option<HeaderValue> {
-        // SplitMix64: one to one, so that none comes twice.
+        // SplitMix64 is a bijection of its state: no value repeats.
         let next = self.id_state.get().wrapping_add(0x9e37_79b9_7f4a_7c15);
         self.id_state.set(next);
         let mixed = (next ^ (next >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
@@ -24,6 +24,7 @@
 }
 
 impl<'a> IdGuard<'a> {
+    /// `None` where a request of that id is open.
     pub(crate) fn new(ids: &'a RefCell<HashSet<HeaderValue>>, id: HeaderValue) -> Option<IdGuard<'a>> {
         let fresh = ids.borrow_mut().insert(id.clone());
         fresh.then_some(IdGuard { ids, id })
--- a/crates/http/src/response.rs
+++ b/crates/http/src/response.rs
@@ -1,4 +1,4 @@
-//! The responses that the proxy gives itself, and the choice of what a client gets as the final answer.
+//! Responses that the proxy generates, and the choice between them and a backend's as the final response.
 
 use crate::request::Fault;
 use crate::rules::Rules;
@@ -12,7 +12,7 @@
 use shaletide_record::{Conflict, Verdict};
 use shaletide_routing::{gets, Decision, Gets};
 
-/// The answer to a request that the record does not let go.
+/// The response to a request that the record refuses.
 pub(crate) fn record_refusal(rules: &Rules, verdict: Verdict) -> Result<Response<Full<Bytes>>, Fault> {
     match verdict {
         Verdict::Refuse(after) => Ok(refused(rules, after)),
@@ -22,7 +22,7 @@
     }
 }
 
-/// A key that is not sent, now or by another try: nothing was sent for this request, and it is no refusal.
+/// 409 for a key that is not sent to any backend.
 fn conflicting(conflict: Conflict) -> Response<Full<Bytes>> {
     plain(
         StatusCode::CONFLICT,
@@ -34,6 +34,7 @@
     )
 }
 
+/// 503 with `Retry-After`.
 pub(crate) fn refused(rules: &Rules, after: Micros) -> Response<Full<Bytes>> {
     let mut response = plain(StatusCode::SERVICE_UNAVAILABLE, "refused\n");
     if let Ok(advice) = HeaderValue::try_from(rules.advice(after)) {
@@ -42,7 +43,7 @@
     response
 }
 
-/// The final answer as the client gets it.
+/// The response to a request that the host has answered.
 pub(crate) fn final_response(
     rules: &Rules, answer: Answer, call: &ForwardedRequest, safe: bool,
 ) -> Response<Full<Bytes>> {
@@ -63,6 +64,7 @@
     }
 }
 
+/// A response with a text body.
 pub(crate) fn plain(status: StatusCode, text: impl Into<Bytes>) -> Response<Full<Bytes>> {
     let mut response = Response::new(Full::new(text.into()));
     *response.status_mut() = status;
--- a/crates/http/src/rules.rs
+++ b/crates/http/src/rules.rs
@@ -8,7 +8,7 @@
 use std::collections::{HashMap, HashSet};
 use std::rc::Rc;
 
-/// A first request that has begun to come is whole after this time, or makes way where room is needed.
+/// A new connection's first request, or a body, is given this time before the connection may be evicted for it.
 pub(crate) const FIRST_REQUEST_PATIENCE: Micros = Micros(100_000);
 
 /// What is checked of a class's requests.
--- a/crates/http/src/serve.rs
+++ b/crates/http/src/serve.rs
@@ -12,17 +12,18 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-/// So many more that were answered and ended, out of the reserve too: what they still send is read for so long.
+/// Connections that may linger after their last response at the same time, on descriptors of the reserve.
 const MAX_LINGERING: usize = 16;
+/// How long the input of a lingering connection is read and discarded.
 const LINGER_TIMEOUT: Duration = Duration::from_millis(500);
-/// The largest head, to which hyper holds a connection's buffer.
+/// The longest request head in bytes; hyper's read buffer is limited to it.
 const MAX_HEAD: usize = 16 * 1024;
-/// A connection that was told to end and has not is cut after this time: its client reads nothing.
+/// An evicted connection that is still open after this time is closed: its client does not read its response.
 const CLOSE_TIMEOUT: Duration = Duration::from_secs(1);
 
 impl Server {
-    /// Its last answer is on its way: it holds no place any more, but is not reset at once for what its client sent
-    /// behind its request. That could take the answer along.
+    /// Keeps a connection open for some time after its last response. Closing a socket with unread input resets it,
+    /// which could discard the response before the client has read it.
     pub(crate) async fn linger(&self, client: &Client) {
         if self.lingering.get() < MAX_LINGERING {
             self.lingering.set(self.lingering.get() + 1);
@@ -32,7 +33,7 @@
         }
     }
 
-    /// Whether it ended after its last answer, all of which was written.
+    /// Serves requests until the connection ends. Whether its last response was written completely.
     pub(crate) async fn serve(self: &Rc<Self>, client: &Rc<Client>) -> bool {
         let service = service_fn(|request| async {
             client.busy.set(true);
@@ -51,7 +52,7 @@
         loop {
             tokio::select! {
                 ended = conn.as_mut() => return ended.is_ok(),
-                // Asked as the time is up: a request that came since then is owed its answer, and that its way out.
+                // Checked when the timeout fires: a request that arrived meanwhile is answered, and the timeout starts anew.
                 _ = cut.as_mut(), if client.evicted.get() => {
                     if !client.busy.get() && span(self.host.clock.now() - client.idle_since.get()) >= CLOSE_TIMEOUT {
                         return false;
@@ -64,9 +65,9 @@
                     }
                     let idle = !client.busy.get() && !client.stream.has_unread_bytes();
                     if client.evicted.get() && !client.proven.get() && idle {
-                        return false; // nothing is owed on it
+                        return false; // no request of it is unanswered
                     }
-                    // A request that has just come is answered first; `answer` then ends the connection.
+                    // A request that has just arrived is answered first; `answer` then ends the connection.
                     if client.busy.get() || !client.stream.has_pending_input() {
                         conn.as_mut().graceful_shutdown();
                     }
--- a/crates/http/src/server.rs
+++ b/crates/http/src/server.rs
@@ -1,4 +1,5 @@
-//! The front's state: clients, bodies, ids and counts. What is done with it stands in the modules beside this one.
+//! The server's state: connections, request bodies, request ids and counters. The modules beside this one implement
+//! what it does: accept, serve, proxy, evict, shut down.
 
 use crate::connection::{Client, ConnectionCounters};
 use crate::rules::Rules;
@@ -11,40 +12,42 @@
 use std::rc::Rc;
 use tokio::sync::Notify;
 
-/// The front.
+/// The HTTP server in front of the host.
 pub struct Server {
     pub(crate) host: Rc<Host>,
     pub(crate) counters: Rc<ConnectionCounters>,
     pub(crate) rules: RefCell<Rc<Rules>>,
     pub(crate) max_clients: usize,
     pub(crate) clients: RefCell<HashMap<u64, Rc<Client>>>,
-    /// The bodies of requests, and whose they are.
+    /// The admission of request bodies, and the connections that send them.
     pub(crate) bodies: RefCell<Bodies>,
     pub(crate) body_senders: RefCell<HashMap<BodyId, Rc<Client>>>,
-    /// The ids of the requests that are open.
+    /// The ids of open requests.
     pub(crate) open_ids: RefCell<HashSet<HeaderValue>>,
-    /// Ids for requests that bring none are drawn from this.
+    /// State of the generator of ids for requests without one.
     pub(crate) id_state: Cell<u64>,
     pub(crate) next_connection: Cell<u64>,
-    /// The program stops, and no request has time beyond this.
+    /// Set during shutdown: no request's deadline is later.
     pub(crate) stop_deadline: Cell<Option<Time>>,
-    /// No request that was taken so far has time beyond this.
+    /// The latest deadline of all requests accepted so far.
     pub(crate) latest_deadline: Cell<Time>,
+    /// Signalled when a connection has ended.
     pub(crate) connection_ended: Notify,
-    /// Connections that were answered and ended, and whose clients may still be sending.
+    /// Connections that linger after their last response.
     pub(crate) lingering: Cell<usize>,
+    /// When an accept error was last logged.
     pub(crate) accept_logged: Cell<Time>,
-    /// Accepted, let go of to make room, and turned away since the last report.
+    /// Connections accepted, connections evicted and requests rejected since the last report.
     pub(crate) accepted: Cell<u64>,
     pub(crate) evicted: Cell<u64>,
     pub(crate) rejected: Cell<u64>,
-    /// Bodies that were not waited for any longer, and requests that found no room for theirs.
+    /// Bodies given up as too slow, and requests refused for want of room for theirs, since the last report.
     pub(crate) slow_bodies: Cell<u64>,
     pub(crate) bodies_without_room: Cell<u64>,
 }
 
 impl Server {
-    /// A front with places for so many clients; ids that it gives are drawn from the seed.
+    /// A server with a limit on connections; `seed` starts its generator of request ids.
     pub fn new(host: Rc<Host>, rules: Rules, max_clients: usize, seed: u64) -> Rc<Server> {
         Rc::new(Server {
             host,
@@ -70,7 +73,7 @@
         })
     }
 
-    /// Requests are read by these rules from now on; those that are open go on by theirs.
+    /// Replaces the rules. Open requests keep the ones by which they were accepted.
     pub fn reload(&self, rules: Rules) {
         self.bodies.borrow_mut().configure(rules.bodies);
         self.rules.replace(Rc::new(rules));
@@ -80,22 +83,22 @@
         self.rules.borrow().clone()
     }
 
-    /// How many are connected.
+    /// How many connections there are.
     pub fn clients(&self) -> usize {
         self.clients.borrow().len()
     }
 
-    /// How many there are that were not told to leave.
+    /// How many of them hold a slot.
     pub(crate) fn active(&self) -> usize {
         self.counters.active.get()
     }
 
-    /// Those of them that never sent a whole request.
+    /// How many of those have never sent a complete request.
     pub(crate) fn unproven(&self) -> usize {
         self.counters.active.get() - self.counters.proven.get()
     }
 
-    /// For the line of counts.
+    /// The counters for the periodic log line; those of events start anew.
     pub fn report(&self) -> String {
         let (accepted, evicted, faults) = (self.accepted.take(), self.evicted.take(), self.rejected.take());
         let unproven = self.unproven();
--- a/crates/http/src/shutdown.rs
+++ b/crates/http/src/shutdown.rs
@@ -1,4 +1,4 @@
-//! Runs the front until it is told to stop, and the graceful stop.
+//! The server's main loop and its graceful shutdown.
 
 use crate::accept::{EXTRA_CONNECTIONS, READ_TURNS};
 use crate::connection::Client;
@@ -10,20 +10,20 @@
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
 
-/// After SIGTERM new connections go on coming for up to 0.4 s.
+/// How long connections are still accepted after SIGTERM: clients are told of it up to 0.4 s later.
 const ACCEPT_AFTER_STOP: Duration = Duration::from_millis(500);
-/// The program has ended so long after the longest deadline, counted from SIGTERM: SIGKILL comes 0.2 s later at the
-/// soonest, which a loaded core may take for the last steps.
+/// The program ends at most this long after SIGTERM plus the longest deadline. SIGKILL follows 0.2 s later at the
+/// soonest, a reserve for a loaded machine.
 const STOP_MARGIN: Micros = Micros(500_000);
-/// And of that is kept for the last answers' way out.
+/// The part of it that is kept for writing the last responses.
 const FLUSH_TIME: Micros = Micros(100_000);
-/// While the program stops, connections on which there is nothing to wait for are looked for so often.
+/// How often idle connections are closed during shutdown.
 const IDLE_CHECK_INTERVAL: Duration = Duration::from_millis(20);
-/// One that has just been accepted is about to bring a request.
+/// A connection without a request is not closed before this age: its request may be on the way.
 const NEW_CONNECTION_GRACE: Micros = Micros(300_000);
 
 impl Server {
-    /// Accepts until told to stop, then answers what it has taken and returns.
+    /// Accepts and serves until `stop` completes, then answers all accepted requests and returns.
     pub async fn run(self: Rc<Self>, listeners: Vec<TcpListener>, stop: impl Future<Output = ()>) {
         let mut stop = pin!(stop);
         loop {
@@ -34,7 +34,8 @@
         }
         let begun = self.host.clock.now();
         let rules = self.rules();
-        // Those taken by earlier rules may have longer, and one that is killed before their time is up answers sooner.
+        // Requests accepted by earlier rules may have later deadlines; where the time to stop is limited, they are
+        // answered before it ends.
         let longest = rules.longest().max(self.latest_deadline.get() - begun);
         let end = begun + longest.min(rules.longest_stop.unwrap_or(longest)) + STOP_MARGIN;
         let last = end - FLUSH_TIME;
@@ -48,16 +49,16 @@
                 _ = &mut linger => break,
             }
         }
-        // What the kernel has accepted is owed an answer: a backlog is emptied before it is closed, as there is room.
+        // Connections in the accept queue are served too: a listener is closed only once its queue is empty.
         let mut listeners: Vec<_> = listeners.into_iter().flat_map(TcpListener::into_std).collect();
-        // A client that holds a connection open with half of a request, or reads nothing, does not keep the program.
-        // What is open is given up once, and then there is the time for the answers' way, or some turns of the loop at
-        // least: a program that slept over all of this may find its end behind it already.
+        // A client that sends half of a request, or does not read its response, does not delay the end. At the deadline
+        // open requests are given up once; then their responses have FLUSH_TIME, and at least some turns of the event
+        // loop, as a process that was not scheduled for long may find both times over.
         let mut over: Option<Time> = None;
         loop {
             let now = self.host.clock.now();
             if over.is_none() && now >= last {
-                over = Some(now + FLUSH_TIME); // what came later had no more time than until now
+                over = Some(now + FLUSH_TIME); // later requests had no later deadline
                 self.host.give_up(rules.max_retry_after);
             }
             self.close_idle();
@@ -75,7 +76,7 @@
         }
     }
 
-    /// Takes in what waits at a listener, as far as there is room for it: whether that was all.
+    /// Admits the connections in a listener's accept queue up to the limit. Whether the queue is empty.
     fn drain_backlog(self: &Rc<Self>, listener: &std::net::TcpListener) -> bool {
         while self.clients() < self.max_clients + EXTRA_CONNECTIONS {
             match listener.accept() {
@@ -84,18 +85,17 @@
                     tcp.into_iter().for_each(|tcp| self.admit(tcp));
                 }
                 Err(e) if e.kind() == std::io::ErrorKind::WouldBlock => return true,
-                Err(e) if e.kind() == std::io::ErrorKind::ConnectionAborted => {} // a client that left in the queue
+                Err(e) if e.kind() == std::io::ErrorKind::ConnectionAborted => {} // a client that closed while it was queued
                 Err(_) => {
                     let _ = self.evict_one() || self.host.make_room();
-                    return false; // out of descriptors: after the next that leaves
+                    return false; // out of descriptors: tried again when a connection has ended
                 }
             }
         }
         false
     }
 
-    /// While the program stops: those on which no request has begun to come are closed, but for new ones. Those that
-    /// wait for an answer end with it.
+    /// Closes the connections that have no request open, except new ones. The others end with their response.
     fn close_idle(&self) {
         let now = self.host.clock.now();
         let idle = |c: &&Rc<Client>| {
--- a/crates/http/src/timer.rs
+++ b/crates/http/src/timer.rs
@@ -5,7 +5,7 @@
 use std::task::{Context, Poll};
 use std::time::{Duration, Instant};
 
-/// The clock by which hyper ends connections whose heads do not come.
+/// Fires hyper's timeout for reading request heads.
 #[derive(Clone, Copy)]
 pub(crate) struct Timer;
 
--- a/crates/http/src/upstream.rs
+++ b/crates/http/src/upstream.rs
@@ -1,4 +1,4 @@
-//! One request on its way to backends: how it is written on a connection, and what its answer means.
+//! The exchange with a backend: writes a client's request on a connection and reads and judges the response.
 
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
@@ -20,39 +20,39 @@
 /// The largest head, to which hyper holds a connection's buffer.
 const MAX_HEAD: usize = 32 * 1024;
 
-/// A client's request as it goes on to backends.
+/// A client's request as it is forwarded to backends.
 pub struct ForwardedRequest {
     /// Its method.
     pub method: Method,
     /// Path and query.
     pub uri: Uri,
-    /// Its headers, but for those of one connection only.
+    /// Its headers without the hop-by-hop ones.
     pub headers: HeaderMap,
     /// Its whole body.
     pub body: Bytes,
-    /// Its client's connection, on which nothing else is asked meanwhile.
+    /// The connection of its client.
     pub client: Option<PeerWatch>,
-    /// The header that tells a backend how long the proxy will wait, in seconds.
+    /// The header that tells a backend how long the proxy waits, in seconds.
     pub time_left: HeaderName,
-    /// What an answer means, by the request's route.
+    /// How the request's route judges responses.
     pub answers: Rc<Answers>,
-    /// The answers that its client may get, by attempt.
+    /// The responses that may be passed on, by attempt.
     pub got: RefCell<Vec<(AttemptNo, Verdict, BackendResponse)>>,
 }
 
-/// A backend's whole answer.
+/// A backend's complete response.
 #[derive(Debug)]
 pub struct BackendResponse {
     /// Its status.
     pub status: StatusCode,
-    /// Its headers, but for those of one connection only.
+    /// Its headers without the hop-by-hop ones.
     pub headers: HeaderMap,
     /// Its whole body.
     pub body: Bytes,
 }
 
 impl ForwardedRequest {
-    /// The answer to an attempt, and what it is as a last answer; once.
+    /// Takes the response to an attempt, and what it is as the last one.
     pub fn take(&self, attempt: AttemptNo) -> Option<(LastAnswer, BackendResponse)> {
         let mut all = self.got.borrow_mut();
         let at = all.iter().position(|(no, ..)| *no == attempt)?;
@@ -87,14 +87,14 @@
     }
 }
 
-/// What a header says. One that says this and that says nothing: it may be the proof that a request never ran.
+/// A header's value, or `None` where several differ: it may be the proof that a request never ran.
 fn said_once<'a>(headers: &'a HeaderMap, name: &str) -> Option<&'a str> {
     let mut all = headers.get_all(name).iter();
     let first = all.next()?;
     all.all(|other| other == first).then(|| first.to_str().ok()).flatten()
 }
 
-/// The request as it goes out on a connection.
+/// The request as it is written on a connection.
 fn outgoing(forwarded: &ForwardedRequest, to: SocketAddr, left: Duration) -> Request<Full<Bytes>> {
     let mut request = Request::new(Full::new(forwarded.body.clone()));
     *request.method_mut() = forwarded.method.clone();
@@ -103,7 +103,7 @@
     if let Ok(text) = format!("{:.3}", left.as_secs_f64()).parse() {
         request.headers_mut().insert(forwarded.time_left.clone(), text);
     }
-    // An HTTP/1.0 client need not name a host, but this goes on as HTTP/1.1, which must.
+    // HTTP/1.1 requires a Host header, which an HTTP/1.0 client need not send.
     if !forwarded.headers.contains_key(HOST) {
         if let Ok(host) = HeaderValue::try_from(to.to_string()) {
             request.headers_mut().insert(HOST, host);
@@ -112,24 +112,23 @@
     request
 }
 
-/// A whole answer, and what is to be said of its connection.
+/// A complete response, and the state of its connection.
 struct Answered {
     got: BackendResponse,
     keep: bool,
     excess: bool,
 }
 
-/// Why no whole answer came: all of these may have run.
+/// Why there is no complete response: the request may have run all the same.
 enum ExchangeError {
-    /// What came is no answer to anything: too long, cut short, or nothing that can be read.
+    /// What was received is no valid response.
     Spoilt,
-    /// The connection ended.
+    /// The connection was closed.
     Ended,
 }
 
-/// One request and its answer, whether that lets the connection be kept, and whether more came than the answer.
-/// hyper starts anew with every request and gives back what it
-/// had read too much, so that nothing left from one answer can pass for the next.
+/// Writes one request and reads its response. Each exchange uses a new hyper connection on the stream, which returns
+/// excess bytes, so that they cannot pass for the next response.
 async fn exchange(
     stream: &Stream, request: Request<Full<Bytes>>, (stall, max_body): (Option<Duration>, usize),
 ) -> Result<Answered, ExchangeError> {
@@ -140,13 +139,13 @@
         let broken =
             |e: hyper::Error| if e.is_parse() { ExchangeError::Spoilt } else { ExchangeError::Ended };
         let (head, body) = sender.send_request(request).await.map_err(broken)?.into_parts();
-        // Not asked for, and the last word on this connection: no answer to the request.
+        // An unrequested upgrade, and the end of HTTP on this connection: no response to the request.
         if head.status.is_informational() {
             return Err(ExchangeError::Spoilt);
         }
         let bodiless = head_only || matches!(head.status, StatusCode::NO_CONTENT | StatusCode::NOT_MODIFIED);
         let given = [CONTENT_LENGTH, TRANSFER_ENCODING].map(|name| head.headers.contains_key(name));
-        // Only a length tells a whole body from one that broke off, and two ways to tell it may differ.
+        // Only a length tells a complete body from a truncated one, and two indications may differ.
         if !bodiless && (given[0] == given[1] || body.size_hint().lower() > max_body as u64) {
             return Err(ExchangeError::Spoilt);
         }
@@ -171,7 +170,7 @@
     stream.mark_idle();
     let excess = !conn.into_parts().read_buf.is_empty();
     let mut headers = head.headers;
-    // Without a body the length says what one would have had, and belongs to the answer.
+    // Without a body the length is that of the response to GET, and is passed on.
     let length = headers.get(CONTENT_LENGTH).filter(|_| bodiless).cloned();
     strip_hop_by_hop(&mut headers);
     if let Some(length) = length.filter(|_| head.status != StatusCode::NO_CONTENT) {
@@ -180,21 +179,20 @@
     Ok(Answered { got: BackendResponse { status: head.status, headers, body }, keep, excess })
 }
 
-/// Looks after an answer that has begun and is not whole: what comes is acknowledged at once, and where the
-/// configuration bounds the time that it may take this ends when that is over. What was noise from the start,
-/// never ends its head or is shorter than it says would else hold its request to the deadline. Answers of
-/// status 1xx are no such beginning.
+/// Acknowledges the parts of a response as they arrive, and returns when a response that has begun is not complete
+/// within `stall`. Invalid bytes, an endless head or a truncated body would otherwise hold the request until its
+/// deadline. Interim responses (1xx) do not begin a response.
 async fn watch_response(stream: &Stream, stall: Option<Duration>) {
     loop {
         while !stream.final_response_begun() {
             stream.next_bytes().await;
         }
-        let informed = stream.interim_responses();
-        // Most answers are whole by the next turn: nothing is to be done for them.
+        let interim = stream.interim_responses();
+        // Most responses are complete by the next turn of the event loop.
         tokio::task::yield_now().await;
         let parts = async {
-            // Until it turns out that this was one of status 1xx.
-            while stream.interim_responses() == informed {
+            // Until it turns out to be an interim response.
+            while stream.interim_responses() == interim {
                 stream.acknowledge();
                 stream.next_bytes().await;
             }
--- a/crates/net/src/exchange.rs
+++ b/crates/net/src/exchange.rs
@@ -1,4 +1,4 @@
-//! What a front brings: how its request is sent to a backend in its protocol, and what comes back.
+//! The interface between the host and a protocol: how one attempt of a request is carried out on a connection.
 
 use crate::stream::{PeerWatch, Stream};
 use shaletide_base::{AttemptNo, LoadReport};
@@ -9,51 +9,51 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-/// One attempt as a front is asked to carry it out.
+/// One attempt to be carried out.
 pub struct ExchangeSpec {
-    /// Its number, under which the front keeps what comes.
+    /// Its number, under which the protocol keeps the response.
     pub attempt: AttemptNo,
-    /// The connection, up and with nothing on it.
+    /// The connection, established and idle.
     pub stream: Stream,
-    /// Where that leads.
+    /// The backend's address.
     pub to: SocketAddr,
-    /// How long the answer is waited for.
+    /// How long the response is waited for.
     pub left: Duration,
-    /// An answer that is not whole so long after its first byte is spoilt.
+    /// A response that is not complete this long after its first byte is invalid.
     pub stall: Option<Duration>,
-    /// So is one whose body is longer than this, in bytes.
+    /// The longest valid body, in bytes.
     pub max_body: usize,
 }
 
-/// What came of it.
+/// The result of an attempt.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum ExchangeOutcome {
-    /// A whole answer.
+    /// A complete response.
     Answered {
         /// What it means.
         verdict: Verdict,
-        /// The connection may be used again for all that the answer says.
+        /// The response allows the connection to be reused.
         keep: bool,
-        /// More came than the answer.
+        /// Bytes followed the response.
         excess: bool,
-        /// What the backend says of its own load.
+        /// The load that the backend reports.
         report: Option<LoadReport>,
     },
-    /// What came can never become an answer, or takes longer than it may.
+    /// What was received is no valid response, or took too long.
     Spoilt,
-    /// The connection ended.
+    /// The connection was closed.
     Ended,
 }
 
-/// An attempt under way. Dropped midway it leaves the connection in no defined state: the host closes it.
+/// An attempt in progress. Where it is dropped midway the host closes the connection.
 pub type ExchangeFuture = Pin<Box<dyn Future<Output = ExchangeOutcome>>>;
 
-/// A request that a front keeps while the host sends it.
+/// A request that the host sends to backends.
 pub trait UpstreamRequest {
-    /// The client's connection, where the request has one to itself: no attempt begins once the client has closed it.
+    /// The client's connection, if there is one: no attempt begins once the client has closed it.
     fn client(&self) -> Option<&PeerWatch>;
 
-    /// Writes the request once and reads its answer. [`Stream::begin_request`] has to be told before the first byte,
-    /// so that the host knows when the last one is out.
+    /// Writes the request and reads its response. Must call [`Stream::begin_request`] before the first byte, so that
+    /// the host knows when the last one was written.
     fn run(self: Rc<Self>, spec: ExchangeSpec) -> ExchangeFuture;
 }
