--- /dev/null
+++ b/crates/http/src/accept.rs
@@ -0,0 +1,75 @@
+//! The accept loop: admits connections up to the limit, and serves each in a task of its own.
+
+use crate::connection::Client;
+use crate::listener::accept_any;
+use crate::server::Server;
+use shaletide_balancer::Micros;
+use shaletide_net::Stream;
+use std::cell::Cell;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::net::{TcpListener, TcpStream};
+use tracing::warn;
+
+/// Connections accepted beyond the limit, on descriptors of the reserve: each is closed after its response.
+pub(crate) const EXTRA_CONNECTIONS: usize = 24;
+/// Turns of the event loop after which the first request on a new connection has been read, if it was there.
+pub(crate) const READ_TURNS: usize = 4;
+/// Accept errors are logged at most this often.
+const ACCEPT_LOG_INTERVAL: Micros = Micros(1_000_000);
+
+impl Server {
+    /// Accepts one connection, after evicting others where the limit is reached.
+    pub(crate) async fn accept(self: &Rc<Self>, listeners: &[TcpListener]) {
+        while self.clients() >= self.max_clients + EXTRA_CONNECTIONS {
+            // They may all have been accepted in one turn, unread: each may have sent a request.
+            for _ in 0..READ_TURNS {
+                while self.active() > self.max_clients && self.evict_one() {}
+                if self.active() <= self.max_clients {
+                    break;
+                }
+                tokio::task::yield_now().await;
+            }
+            // Evicted connections need time to end; evicting more would not free a slot sooner.
+            let _ = tokio::time::timeout(Duration::from_millis(20), self.connection_ended.notified()).await;
+        }
+        match accept_any(listeners, self.next_connection.get()).await {
+            Ok((tcp, _)) => self.admit(tcp),
+            Err(e) => {
+                // Out of descriptors, or a client that closed while it was queued: never fatal.
+                let made_room = self.evict_one() || self.host.make_room();
+                let now = self.host.clock.now();
+                if now - self.accept_logged.get() >= ACCEPT_LOG_INTERVAL {
+                    self.accept_logged.set(now);
+                    warn!("accept: {e}; {} clients, {} upstreams", self.clients(), self.host.upstreams());
+                }
+                if !made_room || e.kind() != std::io::ErrorKind::ConnectionAborted {
+                    tokio::time::sleep(Duration::from_millis(5)).await;
+                }
+            }
+        }
+    }
+
+    /// Takes a connection in and serves it in a task of its own.
+    pub(crate) fn admit(self: &Rc<Self>, tcp: TcpStream) {
+        if self.active() >= self.max_clients {
+            self.evict_one();
+        }
+        self.accepted.set(self.accepted.get() + 1);
+        let key = self.next_connection.get();
+        self.next_connection.set(key + 1);
+        let (stream, idle_since) = (Stream::new(tcp), Cell::new(self.host.clock.now()));
+        let client = Rc::new(Client::new(stream, idle_since, self.counters.clone()));
+        self.clients.borrow_mut().insert(key, client.clone());
+        let server = self.clone();
+        tokio::task::spawn_local(async move {
+            let whole = server.serve(&client).await;
+            client.release_slot();
+            server.clients.borrow_mut().remove(&key);
+            server.connection_ended.notify_one();
+            if whole && client.announced_close.get() {
+                server.linger(&client).await;
+            }
+        });
+    }
+}
--- a/crates/http/src/bodies.rs
+++ b/crates/http/src/bodies.rs
@@ -1,7 +1,8 @@
-//! Bodies of requests as they come: a thin shell over `admission::Bodies`, which says who is read and who has to go.
+//! Reads request bodies: a thin shell over `admission::Bodies`, which decides which body is read and which is evicted.
 
+use crate::connection::Client;
 use crate::request::Fault;
-use crate::server::{Client, Server};
+use crate::server::Server;
 use bytes::{Bytes, BytesMut};
 use http_body_util::BodyExt;
 use hyper::body::{Body, Incoming};
@@ -10,48 +11,47 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-/// Whoever stands in line looks this often whether somebody has to make room.
-const LOOK: Duration = Duration::from_millis(20);
+/// How often a waiting request asks whether another body can be evicted for its own.
+const EVICTION_CHECK_INTERVAL: Duration = Duration::from_millis(20);
 
-/// Why a body is not whole.
-pub(crate) enum Unread {
-    /// By its client's doing, or to make room.
+/// Why a body was not read completely.
+pub(crate) enum BodyError {
+    /// The client's fault, or evicted.
     Fault(Fault),
-    /// None of it was read, as there was no room in its time: a retry is harmless.
+    /// Nothing of it was read, as there was no room in time: a retry is harmless.
     NoRoom,
 }
 
-/// A body that is read, and then the room that it holds until its request is answered. Dropped at any moment it gives
-/// its room back.
-pub(crate) struct Coming {
+/// A body being read, and the memory it reserves until its request is answered. Dropping it frees that at any time.
+pub(crate) struct IncomingBody {
     server: Rc<Server>,
     client: Rc<Client>,
     id: BodyId,
     length: usize,
 }
 
-impl Coming {
-    /// Of the length that its head names.
+impl IncomingBody {
+    /// Reserves room for a body of the length that the request's head gives.
     ///
     /// # Errors
-    /// Where it names none; heads are checked for that before.
-    pub fn new(server: &Rc<Server>, client: &Rc<Client>, body: &Incoming) -> Result<Coming, Unread> {
-        let length = body.size_hint().exact().ok_or(Unread::Fault(Fault::Length))? as usize;
+    /// Where it gives none; heads are checked for that before.
+    pub fn new(server: &Rc<Server>, client: &Rc<Client>, body: &Incoming) -> Result<IncomingBody, BodyError> {
+        let length = body.size_hint().exact().ok_or(BodyError::Fault(Fault::Length))? as usize;
         let id = server.bodies.borrow_mut().begin(server.host.clock.now(), length);
-        server.senders.borrow_mut().insert(id, client.clone());
-        Ok(Coming { server: server.clone(), client: client.clone(), id, length })
+        server.body_senders.borrow_mut().insert(id, client.clone());
+        Ok(IncomingBody { server: server.clone(), client: client.clone(), id, length })
     }
 
-    /// All of it, by then. Dropped midway it leaves nothing behind but its place, which goes with `self`.
+    /// Reads it completely by `until`. May be dropped midway.
     ///
     /// # Errors
-    /// Why it is not whole.
-    pub async fn whole(&self, until: Time, mut body: Incoming) -> Result<Bytes, Unread> {
+    /// Why it was not read completely.
+    pub async fn whole(&self, until: Time, mut body: Incoming) -> Result<Bytes, BodyError> {
         self.enter(until).await?;
-        self.client.coming.set(Some(self.now()));
+        self.client.body_since.set(Some(self.now()));
         let read = self.read(until, &mut body).await;
-        self.client.coming.set(None);
-        let whole = read.map_err(Unread::Fault)?;
+        self.client.body_since.set(None);
+        let whole = read.map_err(BodyError::Fault)?;
         self.server.bodies.borrow_mut().taken(self.id);
         Ok(whole)
     }
@@ -60,19 +60,19 @@
         self.server.host.clock.now()
     }
 
-    /// Until it may be read.
-    async fn enter(&self, until: Time) -> Result<(), Unread> {
+    /// Waits until it may be read.
+    async fn enter(&self, until: Time) -> Result<(), BodyError> {
         loop {
             let now = self.now();
             match self.server.bodies.borrow().entry(self.id) {
                 Entry::In => return Ok(()),
-                Entry::Out => return Err(Unread::Fault(Fault::Slow)),
-                Entry::Waits if now >= until => return Err(Unread::NoRoom),
+                Entry::Out => return Err(BodyError::Fault(Fault::Slow)),
+                Entry::Waits if now >= until => return Err(BodyError::NoRoom),
                 Entry::Waits => {}
             }
             let pushed = self.server.bodies.borrow_mut().push_out(now);
-            self.server.tell(pushed);
-            let _ = tokio::time::timeout(LOOK, self.client.turn.notified()).await;
+            self.server.notify_senders(pushed);
+            let _ = tokio::time::timeout(EVICTION_CHECK_INTERVAL, self.client.body_changed.notified()).await;
         }
     }
 
@@ -81,11 +81,11 @@
         loop {
             let due = self.server.bodies.borrow().due(self.id).map_or(until, |due| due.min(until));
             let frame = tokio::select! {
-                biased; // what is there is taken before the time is asked, and no timer is set for it
+                biased; // bytes that are there are read before the time is checked, and set no timer
                 frame = body.frame() => frame,
-                () = self.client.turn.notified() => {
+                () = self.client.body_changed.notified() => {
                     let is_in = self.server.bodies.borrow().entry(self.id) == Entry::In;
-                    if self.client.is_leaving() || !is_in {
+                    if self.client.is_evicted() || !is_in {
                         return Err(Fault::Slow);
                     }
                     continue;
@@ -99,7 +99,7 @@
                 return Ok(part);
             }
             if parts.is_empty() {
-                parts.reserve(self.length); // touched as it comes
+                parts.reserve(self.length); // the kernel maps its pages as they are written
             }
             parts.extend_from_slice(&part);
             if parts.len() == self.length {
@@ -109,20 +109,20 @@
     }
 }
 
-impl Drop for Coming {
+impl Drop for IncomingBody {
     fn drop(&mut self) {
-        self.server.senders.borrow_mut().remove(&self.id);
+        self.server.body_senders.borrow_mut().remove(&self.id);
         self.server.bodies.borrow_mut().over(self.now(), self.id);
-        self.server.tell(None);
+        self.server.notify_senders(None);
     }
 }
 
 impl Server {
-    /// Tells those whose bodies were let in, and one that has to make room.
-    fn tell(&self, pushed: Option<BodyId>) {
+    /// Wakes the readers of the bodies that were admitted, and of the one that was evicted.
+    fn notify_senders(&self, pushed: Option<BodyId>) {
         let let_in = self.bodies.borrow_mut().let_in();
-        let senders = self.senders.borrow();
-        let concerned = let_in.into_iter().chain(pushed).filter_map(|id| senders.get(&id));
-        concerned.for_each(|client| client.turn.notify_one());
+        let body_senders = self.body_senders.borrow();
+        let concerned = let_in.into_iter().chain(pushed).filter_map(|id| body_senders.get(&id));
+        concerned.for_each(|client| client.body_changed.notify_one());
     }
 }
--- /dev/null
+++ b/crates/http/src/connection.rs
@@ -0,0 +1,91 @@
+//! A client's connection, its state and the counters that all connections share.
+
+use shaletide_balancer::Time;
+use shaletide_net::Stream;
+use std::cell::Cell;
+use std::rc::Rc;
+use tokio::sync::Notify;
+
+/// Counts of the connections that hold a slot.
+#[derive(Default)]
+pub(crate) struct ConnectionCounters {
+    /// All of them.
+    pub(crate) active: Cell<usize>,
+    /// Those that have sent a complete and valid request.
+    pub(crate) proven: Cell<usize>,
+}
+
+/// A client's connection.
+pub(crate) struct Client {
+    pub(crate) stream: Stream,
+    counters: Rc<ConnectionCounters>,
+    /// A request of it is being answered.
+    pub(crate) busy: Cell<bool>,
+    /// It has sent a complete and valid request.
+    pub(crate) proven: Cell<bool>,
+    /// At least one request on it was answered.
+    pub(crate) answered: Cell<bool>,
+    /// Its last response said `Connection: close`.
+    pub(crate) announced_close: Cell<bool>,
+    /// When it was accepted or last answered.
+    pub(crate) idle_since: Cell<Time>,
+    /// It holds no slot any more: it was chosen for eviction, or has ended.
+    pub(crate) evicted: Cell<bool>,
+    /// Wakes the task that serves it to close it, now or after its next response.
+    pub(crate) close_requested: Notify,
+    /// When reading the body of its request began; `None` once that is complete.
+    pub(crate) body_since: Cell<Option<Time>>,
+    /// Wakes the reader of that body: it was admitted or evicted.
+    pub(crate) body_changed: Notify,
+}
+
+impl Client {
+    /// A connection that takes a slot.
+    pub(crate) fn new(stream: Stream, idle_since: Cell<Time>, counters: Rc<ConnectionCounters>) -> Client {
+        counters.active.set(counters.active.get() + 1);
+        let (busy, proven, evicted) = (Cell::new(false), Cell::new(false), Cell::new(false));
+        let (answered, announced_close) = (Cell::new(false), Cell::new(false));
+        let (close_requested, body_since, body_changed) = (Notify::new(), Cell::new(None), Notify::new());
+        Client {
+            stream,
+            counters,
+            busy,
+            proven,
+            answered,
+            announced_close,
+            idle_since,
+            evicted,
+            close_requested,
+            body_since,
+            body_changed,
+        }
+    }
+
+    /// Notes that it has sent a complete and valid request.
+    pub(crate) fn prove(&self) {
+        if !self.proven.replace(true) && !self.evicted.get() {
+            self.counters.proven.set(self.counters.proven.get() + 1);
+        }
+    }
+
+    /// Whether it was chosen for eviction.
+    pub(crate) fn is_evicted(&self) -> bool {
+        self.evicted.get()
+    }
+
+    /// Frees its slot, once, while it may still be open.
+    pub(crate) fn release_slot(&self) {
+        if !self.evicted.replace(true) {
+            self.counters.active.set(self.counters.active.get() - 1);
+            if self.proven.get() {
+                self.counters.proven.set(self.counters.proven.get() - 1);
+            }
+        }
+    }
+}
+
+impl Drop for Client {
+    fn drop(&mut self) {
+        self.release_slot();
+    }
+}
--- /dev/null
+++ b/crates/http/src/eviction.rs
@@ -0,0 +1,110 @@
+//! Which connection is closed to make room for another: [`eviction_order`] decides over plain data, and the sockets
+//! of its candidates are asked one after the other.
+
+use crate::connection::Client;
+use crate::rules::FIRST_REQUEST_PATIENCE;
+use crate::server::Server;
+use shaletide_balancer::Time;
+
+/// Connections that never sent a complete request may hold this part of the connection limit; while they hold more,
+/// they are evicted first at any age.
+const UNPROVEN_DIVISOR: usize = 4;
+
+/// What the choice depends on, apart from the socket.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct Candidate<K> {
+    /// The connection it stands for.
+    pub key: K,
+    /// One of its requests is being answered.
+    pub busy: bool,
+    /// It has sent a complete and valid request.
+    pub proven: bool,
+    /// It was chosen before.
+    pub evicted: bool,
+    /// When it was accepted or last answered.
+    pub idle_since: Time,
+    /// The body of its request is being read since then.
+    pub body_since: Option<Time>,
+}
+
+impl<K> Candidate<K> {
+    /// Its first request may still be on its way.
+    fn is_new(&self, now: Time) -> bool {
+        now - self.idle_since < FIRST_REQUEST_PATIENCE
+    }
+
+    /// The body that it is sending has taken long enough to be given up.
+    fn sends_slowly(&self, now: Time, crowded_by_unproven: bool) -> bool {
+        let at_once = crowded_by_unproven && !self.proven;
+        self.body_since.is_some_and(|since| at_once || now - since >= FIRST_REQUEST_PATIENCE)
+    }
+
+    /// Bytes that it has sent protect it even when nobody has read them yet, as they may be a whole request.
+    fn is_protected_by_input(&self, now: Time) -> bool {
+        self.proven || self.is_new(now)
+    }
+}
+
+/// The connections that may be closed, first choice first: those whose bodies come slowly and those that never sent a
+/// complete request, then those that were idle longest. `crowded_by_unproven`: connections that never sent one hold
+/// too many slots, so that their age protects none of them.
+fn eviction_order<K>(
+    now: Time, crowded_by_unproven: bool, candidates: impl Iterator<Item = Candidate<K>>,
+) -> Vec<Candidate<K>> {
+    let may_go = |c: &Candidate<K>| (!c.busy || c.sends_slowly(now, crowded_by_unproven)) && !c.evicted;
+    let mut order: Vec<_> = candidates.filter(may_go).collect();
+    order.sort_by_key(|c| match c.body_since {
+        Some(since) => (false, since),
+        None => (c.proven || !crowded_by_unproven && c.is_new(now), c.idle_since),
+    });
+    order
+}
+
+impl Server {
+    /// Closes the connection that [`eviction_order`] names first and on which no request waits to be read. Whether
+    /// there was one.
+    pub(crate) fn evict_one(&self) -> bool {
+        let now = self.host.clock.now();
+        let crowded_by_unproven = self.unproven() > self.max_clients / UNPROVEN_DIVISOR;
+        let clients = self.clients.borrow();
+        let candidates = clients.values().map(|client| client.candidate());
+        // The kernel is asked of one candidate after the other, and not of all clients: a system call for each of
+        // some hundred clients at each eviction took all the processor time that there was.
+        let order = eviction_order(now, crowded_by_unproven, candidates);
+        let Some(chosen) =
+            order.into_iter().find(|c| !c.key.has_request_waiting(c.is_protected_by_input(now)))
+        else {
+            return false;
+        };
+        let client = chosen.key;
+        self.evicted.set(self.evicted.get() + 1);
+        client.release_slot(); // another call at the same moment chooses another
+        match client.body_since.get() {
+            Some(_) => client.body_changed.notify_one(), // it is told why
+            None => client.close_requested.notify_one(),
+        }
+        true
+    }
+}
+
+impl Client {
+    fn candidate(&self) -> Candidate<&Client> {
+        Candidate {
+            key: self,
+            busy: self.busy.get(),
+            proven: self.proven.get(),
+            evicted: self.evicted.get(),
+            idle_since: self.idle_since.get(),
+            body_since: self.body_since.get(),
+        }
+    }
+
+    /// By what its socket says at this moment: bytes that were read count only with `any_input`, bytes that were not
+    /// always do.
+    fn has_request_waiting(&self, any_input: bool) -> bool {
+        self.stream.has_pending_input() && (any_input || self.stream.has_unread_bytes())
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- a/crates/http/src/rules.rs
+++ b/crates/http/src/rules.rs
@@ -1,6 +1,5 @@
 //! What requests are read and checked by, made of a configuration once and replaced whole by the next.
 
-use crate::server::FIRST_PATIENCE;
 use hyper::header::{HeaderName, CONTENT_LENGTH, HOST};
 use hyper::Method;
 use shaletide_admission::{Measures, Rate};
@@ -9,6 +8,9 @@
 use std::collections::{HashMap, HashSet};
 use std::rc::Rc;
 
+/// A new connection's first request, or a body, is given this time before the connection may be evicted for it.
+pub(crate) const FIRST_REQUEST_PATIENCE: Micros = Micros(100_000);
+
 /// What is checked of a class's requests.
 #[derive(Clone, Debug)]
 pub struct ClassRule {
@@ -170,7 +172,7 @@
             bodies: Measures {
                 rate: Rate { least: def.body_rate, grace: def.body_grace },
                 held: def.held_bodies,
-                patience: FIRST_PATIENCE,
+                patience: FIRST_REQUEST_PATIENCE,
             },
             max_body: def.max_body,
             record: def.record,
--- /dev/null
+++ b/crates/http/src/serve.rs
@@ -0,0 +1,81 @@
+//! Serves the requests of one connection until it ends.
+
+use crate::connection::Client;
+use crate::server::Server;
+use crate::timer::Timer;
+use hyper::header::CONNECTION;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use shaletide_net::span;
+use std::convert::Infallible;
+use std::pin::pin;
+use std::rc::Rc;
+use std::time::Duration;
+
+/// Connections that may linger after their last response at the same time, on descriptors of the reserve.
+const MAX_LINGERING: usize = 16;
+/// How long the input of a lingering connection is read and discarded.
+const LINGER_TIMEOUT: Duration = Duration::from_millis(500);
+/// The longest request head in bytes; hyper's read buffer is limited to it.
+const MAX_HEAD: usize = 16 * 1024;
+/// An evicted connection that is still open after this time is closed: its client does not read its response.
+const CLOSE_TIMEOUT: Duration = Duration::from_secs(1);
+
+impl Server {
+    /// Keeps a connection open for some time after its last response. Closing a socket with unread input resets it,
+    /// which could discard the response before the client has read it.
+    pub(crate) async fn linger(&self, client: &Client) {
+        if self.lingering.get() < MAX_LINGERING {
+            self.lingering.set(self.lingering.get() + 1);
+            let _ = tokio::time::timeout(LINGER_TIMEOUT, client.stream.drain()).await;
+            self.lingering.set(self.lingering.get() - 1);
+            self.connection_ended.notify_one();
+        }
+    }
+
+    /// Serves requests until the connection ends. Whether its last response was written completely.
+    pub(crate) async fn serve(self: &Rc<Self>, client: &Rc<Client>) -> bool {
+        let service = service_fn(|request| async {
+            client.busy.set(true);
+            let answer = self.answer(client, request).await;
+            client.answered.set(true);
+            client.announced_close.set(answer.headers().contains_key(CONNECTION));
+            client.idle_since.set(self.host.clock.now());
+            client.stream.mark_idle();
+            client.busy.set(false);
+            Ok::<_, Infallible>(answer)
+        });
+        let mut builder = http1::Builder::new();
+        builder.max_buf_size(MAX_HEAD).timer(Timer).header_read_timeout(span(self.rules().head_timeout));
+        let mut conn = pin!(builder.serve_connection(client.stream.clone(), service));
+        let mut cut = pin!(tokio::time::sleep(Duration::MAX));
+        loop {
+            tokio::select! {
+                ended = conn.as_mut() => return ended.is_ok(),
+                // Checked when the timeout fires: a request that arrived meanwhile is answered, and the timeout starts anew.
+                _ = cut.as_mut(), if client.evicted.get() => {
+                    if !client.busy.get() && span(self.host.clock.now() - client.idle_since.get()) >= CLOSE_TIMEOUT {
+                        return false;
+                    }
+                    cut.as_mut().reset(tokio::time::Instant::now() + CLOSE_TIMEOUT);
+                }
+                _ = client.close_requested.notified() => {
+                    if client.evicted.get() {
+                        cut.as_mut().reset(tokio::time::Instant::now() + CLOSE_TIMEOUT);
+                    }
+                    let idle = !client.busy.get() && !client.stream.has_unread_bytes();
+                    if client.evicted.get() && !client.proven.get() && idle {
+                        return false; // no request of it is unanswered
+                    }
+                    // A request that has just arrived is answered first; `answer` then ends the connection.
+                    if client.busy.get() || !client.stream.has_pending_input() {
+                        conn.as_mut().graceful_shutdown();
+                    }
+                }
+            }
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/http/src/shutdown.rs
@@ -0,0 +1,106 @@
+//! The server's main loop and its graceful shutdown.
+
+use crate::accept::{EXTRA_CONNECTIONS, READ_TURNS};
+use crate::connection::Client;
+use crate::server::Server;
+use shaletide_balancer::{Micros, Time};
+use std::future::Future;
+use std::pin::pin;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::net::{TcpListener, TcpStream};
+
+/// How long connections are still accepted after SIGTERM: clients are told of it up to 0.4 s later.
+const ACCEPT_AFTER_STOP: Duration = Duration::from_millis(500);
+/// The program ends at most this long after SIGTERM plus the longest deadline. SIGKILL follows 0.2 s later at the
+/// soonest, a reserve for a loaded machine.
+const STOP_MARGIN: Micros = Micros(500_000);
+/// The part of it that is kept for writing the last responses.
+const FLUSH_TIME: Micros = Micros(100_000);
+/// How often idle connections are closed during shutdown.
+const IDLE_CHECK_INTERVAL: Duration = Duration::from_millis(20);
+/// A connection without a request is not closed before this age: its request may be on the way.
+const NEW_CONNECTION_GRACE: Micros = Micros(300_000);
+
+impl Server {
+    /// Accepts and serves until `stop` completes, then answers all accepted requests and returns.
+    pub async fn run(self: Rc<Self>, listeners: Vec<TcpListener>, stop: impl Future<Output = ()>) {
+        let mut stop = pin!(stop);
+        loop {
+            tokio::select! {
+                _ = self.accept(&listeners) => {}
+                _ = &mut stop => break,
+            }
+        }
+        let begun = self.host.clock.now();
+        let rules = self.rules();
+        // Requests accepted by earlier rules may have later deadlines; where the time to stop is limited, they are
+        // answered before it ends.
+        let longest = rules.longest().max(self.latest_deadline.get() - begun);
+        let end = begun + longest.min(rules.longest_stop.unwrap_or(longest)) + STOP_MARGIN;
+        let last = end - FLUSH_TIME;
+        self.stop_deadline.set(Some(last));
+        let mut look = tokio::time::interval(IDLE_CHECK_INTERVAL);
+        let mut linger = pin!(tokio::time::sleep(ACCEPT_AFTER_STOP));
+        loop {
+            tokio::select! {
+                _ = self.accept(&listeners) => {}
+                _ = look.tick() => self.close_idle(),
+                _ = &mut linger => break,
+            }
+        }
+        // Connections in the accept queue are served too: a listener is closed only once its queue is empty.
+        let mut listeners: Vec<_> = listeners.into_iter().flat_map(TcpListener::into_std).collect();
+        // A client that sends half of a request, or does not read its response, does not delay the end. At the deadline
+        // open requests are given up once; then their responses have FLUSH_TIME, and at least some turns of the event
+        // loop, as a process that was not scheduled for long may find both times over.
+        let mut over: Option<Time> = None;
+        loop {
+            let now = self.host.clock.now();
+            if over.is_none() && now >= last {
+                over = Some(now + FLUSH_TIME); // later requests had no later deadline
+                self.host.give_up(rules.max_retry_after);
+            }
+            self.close_idle();
+            listeners.retain(|listener| !self.drain_backlog(listener));
+            if self.clients() + self.lingering.get() == 0 && listeners.is_empty() {
+                return;
+            }
+            if over.is_some_and(|over| now >= over) {
+                for _ in 0..READ_TURNS {
+                    tokio::task::yield_now().await;
+                }
+                return;
+            }
+            let _ = tokio::time::timeout(IDLE_CHECK_INTERVAL, self.connection_ended.notified()).await;
+        }
+    }
+
+    /// Admits the connections in a listener's accept queue up to the limit. Whether the queue is empty.
+    fn drain_backlog(self: &Rc<Self>, listener: &std::net::TcpListener) -> bool {
+        while self.clients() < self.max_clients + EXTRA_CONNECTIONS {
+            match listener.accept() {
+                Ok((stream, _)) => {
+                    let tcp = stream.set_nonblocking(true).and_then(|()| TcpStream::from_std(stream));
+                    tcp.into_iter().for_each(|tcp| self.admit(tcp));
+                }
+                Err(e) if e.kind() == std::io::ErrorKind::WouldBlock => return true,
+                Err(e) if e.kind() == std::io::ErrorKind::ConnectionAborted => {} // a client that closed while it was queued
+                Err(_) => {
+                    let _ = self.evict_one() || self.host.make_room();
+                    return false; // out of descriptors: tried again when a connection has ended
+                }
+            }
+        }
+        false
+    }
+
+    /// Closes the connections that have no request open, except new ones. The others end with their response.
+    fn close_idle(&self) {
+        let now = self.host.clock.now();
+        let idle = |c: &&Rc<Client>| {
+            !c.busy.get() && (c.answered.get() || now - c.idle_since.get() >= NEW_CONNECTION_GRACE)
+        };
+        self.clients.borrow().values().filter(idle).for_each(|c| c.close_requested.notify_one());
+    }
+}
--- /dev/null
+++ b/crates/net/src/exchange.rs
@@ -0,0 +1,59 @@
+//! The interface between the host and a protocol: how one attempt of a request is carried out on a connection.
+
+use crate::stream::{PeerWatch, Stream};
+use shaletide_base::{AttemptNo, LoadReport};
+use shaletide_routing::Verdict;
+use std::future::Future;
+use std::net::SocketAddr;
+use std::pin::Pin;
+use std::rc::Rc;
+use std::time::Duration;
+
+/// One attempt to be carried out.
+pub struct ExchangeSpec {
+    /// Its number, under which the protocol keeps the response.
+    pub attempt: AttemptNo,
+    /// The connection, established and idle.
+    pub stream: Stream,
+    /// The backend's address.
+    pub to: SocketAddr,
+    /// How long the response is waited for.
+    pub left: Duration,
+    /// A response that is not complete this long after its first byte is invalid.
+    pub stall: Option<Duration>,
+    /// The longest valid body, in bytes.
+    pub max_body: usize,
+}
+
+/// The result of an attempt.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum ExchangeOutcome {
+    /// A complete response.
+    Answered {
+        /// What it means.
+        verdict: Verdict,
+        /// The response allows the connection to be reused.
+        keep: bool,
+        /// Bytes followed the response.
+        excess: bool,
+        /// The load that the backend reports.
+        report: Option<LoadReport>,
+    },
+    /// What was received is no valid response, or took too long.
+    Spoilt,
+    /// The connection was closed.
+    Ended,
+}
+
+/// An attempt in progress. Where it is dropped midway the host closes the connection.
+pub type ExchangeFuture = Pin<Box<dyn Future<Output = ExchangeOutcome>>>;
+
+/// A request that the host sends to backends.
+pub trait UpstreamRequest {
+    /// The client's connection, if there is one: no attempt begins once the client has closed it.
+    fn client(&self) -> Option<&PeerWatch>;
+
+    /// Writes the request and reads its response. Must call [`Stream::begin_request`] before the first byte, so that
+    /// the host knows when the last one was written.
+    fn run(self: Rc<Self>, spec: ExchangeSpec) -> ExchangeFuture;
+}
