Split the watch into call, pace and loop, and move its tests to files of their own

One file held the pace of calls, the HTTP exchange, the loop that follows a list and all tests. call.rs has one call and its errors, pace.rs the times, lib.rs the loop; the tests stand in call/tests.rs and pace/tests.rs.

--- /dev/null
+++ b/crates/watch/src/call.rs
@@ -0,0 +1,105 @@
+//! One call to discovery: its connection, its answer, and why there is none.
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Empty, Limited};
+use hyper::client::conn::http1;
+use hyper::Request;
+use shaletide_membership::List;
+use shaletide_net::{driven, BoxError, Stream};
+use std::future::{poll_fn, Future};
+use std::net::SocketAddr;
+use std::pin::Pin;
+use std::task::Poll;
+use std::time::Duration;
+use tokio::net::TcpStream;
+
+/// A list may be longer than a request's body, but not without bound.
+const MAX_LIST: usize = 4 * 1024 * 1024;
+
+/// Why a call brought no list.
+#[derive(Debug)]
+pub(crate) enum WatchError {
+    Connect(std::io::Error),
+    Http(BoxError),
+    Status(u16),
+    Json(serde_json::Error),
+    /// Changes, in answer to a call for the whole list.
+    NotWhole,
+    Ended,
+    Silent,
+}
+
+impl std::fmt::Display for WatchError {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        match self {
+            WatchError::Connect(e) => write!(f, "no connection: {e}"),
+            WatchError::Http(e) => write!(f, "call broken: {e}"),
+            WatchError::Status(code) => write!(f, "answered {code}"),
+            WatchError::Json(e) => write!(f, "answer not understood: {e}"),
+            WatchError::NotWhole => write!(f, "answered a call for the whole list with changes"),
+            WatchError::Ended => write!(f, "connection ended"),
+            WatchError::Silent => write!(f, "silent"),
+        }
+    }
+}
+
+impl std::error::Error for WatchError {}
+
+/// A connection to discovery that is kept between calls.
+pub(crate) struct Link {
+    sender: http1::SendRequest<Empty<Bytes>>,
+    conn: http1::Connection<Stream, Empty<Bytes>>,
+}
+
+/// A call for the whole list wants the whole list.
+pub(crate) fn fit(list: List, whole: bool) -> Result<List, WatchError> {
+    if whole && !list.snapshot {
+        return Err(WatchError::NotWhole);
+    }
+    Ok(list)
+}
+
+/// One call. A connection that does not come up within `prompt` fails it: until it is up no call waits anywhere.
+pub(crate) async fn fetch(
+    link: &mut Option<Link>, at: SocketAddr, uri: &str, prompt: Duration,
+) -> Result<List, WatchError> {
+    let mut live = match kept(link).await {
+        Some(live) => live,
+        None => {
+            let connected = tokio::time::timeout(prompt, TcpStream::connect(at)).await;
+            let late = |_| std::io::Error::from(std::io::ErrorKind::TimedOut);
+            let tcp = connected.map_err(late).and_then(|tcp| tcp).map_err(WatchError::Connect)?;
+            let (sender, conn) = http1::handshake(Stream::new(tcp)).await.map_err(boxed)?;
+            Link { sender, conn }
+        }
+    };
+    let request = Request::get(uri).header("host", at.to_string()).body(Empty::new()).map_err(boxed)?;
+    let Link { sender, conn } = &mut live;
+    let answer = async {
+        sender.ready().await.map_err(boxed)?;
+        let answer = sender.send_request(request).await.map_err(boxed)?;
+        let status = answer.status().as_u16();
+        let body = Limited::new(answer.into_body(), MAX_LIST).collect().await.map_err(WatchError::Http)?;
+        Ok((status, body.to_bytes()))
+    };
+    let (status, body) = driven(conn, answer).await.unwrap_or(Err(WatchError::Ended))?;
+    *link = Some(live);
+    if status != 200 {
+        return Err(WatchError::Status(status));
+    }
+    List::read(&body).map_err(WatchError::Json)
+}
+
+/// The connection of the call before, unless it has ended: an answer may end it, and that shows when it is driven.
+async fn kept(link: &mut Option<Link>) -> Option<Link> {
+    let mut live = link.take()?;
+    let over = poll_fn(|cx| Poll::Ready(Pin::new(&mut live.conn).poll(cx).is_ready())).await;
+    (!over && !live.sender.is_closed()).then_some(live)
+}
+
+fn boxed(e: impl Into<BoxError>) -> WatchError {
+    WatchError::Http(e.into())
+}
+
+#[cfg(test)]
+mod tests;
--- a/crates/watch/src/lib.rs
+++ b/crates/watch/src/lib.rs
@@ -2,80 +2,26 @@
 //! the host; what it means is the machines' to say.
 #![forbid(unsafe_code)]
 
-use bytes::Bytes;
-use http_body_util::{BodyExt, Empty, Limited};
-use hyper::client::conn::http1;
-use hyper::Request;
+mod call;
+mod pace;
+
+use call::{fetch, fit, WatchError};
+use pace::Pace;
 use shaletide_balancer::{Discovery, ListUpdate, PoolId};
 use shaletide_membership::List;
-use shaletide_net::{driven, BoxError, Host, Stream};
+use shaletide_net::Host;
 use std::cell::Cell;
 use std::future::{poll_fn, Future};
 use std::net::SocketAddr;
-use std::pin::{pin, Pin};
+use std::pin::pin;
 use std::rc::Rc;
 use std::task::Poll;
 use std::time::{Duration, Instant};
-use tokio::net::TcpStream;
 use tokio::sync::watch::Receiver;
 use tracing::{info, warn};
 
-/// How calls are made: what an outage leaves the proxy blind to is told once they are over.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-struct Pace {
-    /// One call waits so long for news, from the shortest to the longest of all proxies.
-    wait: [Duration; 2],
-    /// What an answer may take beyond that before discovery counts as silent.
-    prompt: Duration,
-    /// And what one to a call that waits for nothing may take: as long as others' calls may be worked on before it, and
-    /// longer once that was not enough.
-    turn: [Duration; 2],
-    /// Pause after the first failed call in a row, and at the least between two that brought nothing new; it
-    /// doubles, three times at most.
-    pause: Duration,
-}
-
-impl Pace {
-    /// Calls of a discovery that all proxies ask are dear to it, and it works through them in turn. A watch that fell
-    /// silent is opened anew before what it missed counts as told: 2 s after its wait is over, and the grace. Watches
-    /// fall silent together, and calls made in one moment would wait for each other for longer than that: so no two
-    /// proxies wait alike. A call in that line is not given up: it is worked on all the same, and one made in its
-    /// place stands behind it. Discovery itself fails what has waited too long.
-    fn asked(grace: Duration) -> Pace {
-        let prompt = (grace / 2 + Duration::from_millis(400)).min(Duration::from_millis(1500));
-        let (wait, turn) = ([6, 14].map(Duration::from_secs), [3, 6].map(Duration::from_secs));
-        Pace { wait, prompt, turn, pause: Duration::from_millis(50) }
-    }
-
-    /// An agent on the own machine answers at once and at no cost. A call that was out as it fell silent is never
-    /// answered, not even when it is back, and what it has counts as told meanwhile: so a wait, its answer's time
-    /// and a pause last no longer than two thirds of the grace, and so do an answer's time and the longest pause.
-    /// Below 170 ms of grace calls do not get any faster: they would cost more than they tell.
-    fn pushed(grace: Duration) -> Pace {
-        let part = |hundredths: u32, least: u64, most: u64| {
-            (grace * hundredths / 100).clamp(Duration::from_millis(least), Duration::from_millis(most))
-        };
-        let (wait, prompt) = (part(35, 50, 1000), part(25, 40, 500));
-        Pace { wait: [wait; 2], prompt, turn: [prompt; 2], pause: part(2, 5, 50) }
-    }
-
-    /// How long the so many-th call of a proxy waits. Multiples of the golden ratio lie evenly whatever their number:
-    /// so do the ends of the calls of proxies that watch in step.
-    fn wait(&self, position: u32, call: u32) -> Duration {
-        let part = (f64::from(position) + f64::from(call)) * 0.618_033_988_749_895;
-        self.wait[0] + (self.wait[1] - self.wait[0]).mul_f64(part.fract())
-    }
-
-    /// What the answer to a call may take that waits for nothing, the last of which was given up unanswered or not.
-    fn patience(&self, in_vain: bool) -> Duration {
-        self.turn[usize::from(in_vain)]
-    }
-}
-
 /// After a move what the new discovery has counts as told so much later.
 const MOVED: Duration = Duration::from_secs(4);
-/// A list may be longer than a request's body, but not without bound.
-const MAX_LIST: usize = 4 * 1024 * 1024;
 
 /// What is known of a discovery.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -100,39 +46,6 @@
     pub since: Instant,
 }
 
-#[derive(Debug)]
-enum WatchError {
-    Connect(std::io::Error),
-    Http(BoxError),
-    Status(u16),
-    Json(serde_json::Error),
-    /// Changes, in answer to a call for the whole list.
-    NotWhole,
-    Ended,
-    Silent,
-}
-
-impl std::fmt::Display for WatchError {
-    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
-        match self {
-            WatchError::Connect(e) => write!(f, "no connection: {e}"),
-            WatchError::Http(e) => write!(f, "call broken: {e}"),
-            WatchError::Status(code) => write!(f, "answered {code}"),
-            WatchError::Json(e) => write!(f, "answer not understood: {e}"),
-            WatchError::NotWhole => write!(f, "answered a call for the whole list with changes"),
-            WatchError::Ended => write!(f, "connection ended"),
-            WatchError::Silent => write!(f, "silent"),
-        }
-    }
-}
-
-impl std::error::Error for WatchError {}
-
-struct Link {
-    sender: http1::SendRequest<Empty<Bytes>>,
-    conn: http1::Connection<Stream, Empty<Bytes>>,
-}
-
 /// Keeps the list up to date for as long as the program runs. When discovery moves the call that is out is
 /// dropped at once, as it may wait for long. An index means nothing to another discovery: the list is taken
 /// whole there.
@@ -242,14 +155,6 @@
     }
 }
 
-/// A call for the whole list wants the whole list.
-fn fit(list: List, whole: bool) -> Result<List, WatchError> {
-    if whole && !list.snapshot {
-        return Err(WatchError::NotWhole);
-    }
-    Ok(list)
-}
-
 /// The module may have asked for a call while one was out, or before the first: that one is made, and calls for no other
 /// at once when it fails.
 async fn forget(asked: impl Future<Output = ()>) {
@@ -266,212 +171,3 @@
     host.list_version(pool, list.index);
     host.members(pool, update, entries);
 }
-
-/// One call. A connection that does not come up within `prompt` fails it: until it is up no call waits anywhere.
-async fn fetch(
-    link: &mut Option<Link>, at: SocketAddr, uri: &str, prompt: Duration,
-) -> Result<List, WatchError> {
-    let mut live = match kept(link).await {
-        Some(live) => live,
-        None => {
-            let connected = tokio::time::timeout(prompt, TcpStream::connect(at)).await;
-            let late = |_| std::io::Error::from(std::io::ErrorKind::TimedOut);
-            let tcp = connected.map_err(late).and_then(|tcp| tcp).map_err(WatchError::Connect)?;
-            let (sender, conn) = http1::handshake(Stream::new(tcp)).await.map_err(boxed)?;
-            Link { sender, conn }
-        }
-    };
-    let request = Request::get(uri).header("host", at.to_string()).body(Empty::new()).map_err(boxed)?;
-    let Link { sender, conn } = &mut live;
-    let answer = async {
-        sender.ready().await.map_err(boxed)?;
-        let answer = sender.send_request(request).await.map_err(boxed)?;
-        let status = answer.status().as_u16();
-        let body = Limited::new(answer.into_body(), MAX_LIST).collect().await.map_err(WatchError::Http)?;
-        Ok((status, body.to_bytes()))
-    };
-    let (status, body) = driven(conn, answer).await.unwrap_or(Err(WatchError::Ended))?;
-    *link = Some(live);
-    if status != 200 {
-        return Err(WatchError::Status(status));
-    }
-    List::read(&body).map_err(WatchError::Json)
-}
-
-/// The connection of the call before, unless it has ended: an answer may end it, and that shows when it is driven.
-async fn kept(link: &mut Option<Link>) -> Option<Link> {
-    let mut live = link.take()?;
-    let over = poll_fn(|cx| Poll::Ready(Pin::new(&mut live.conn).poll(cx).is_ready())).await;
-    (!over && !live.sender.is_closed()).then_some(live)
-}
-
-fn boxed(e: impl Into<BoxError>) -> WatchError {
-    WatchError::Http(e.into())
-}
-
-#[cfg(test)]
-mod tests {
-    use super::*;
-    use shaletide_testkit::NeverUp;
-    use std::io::{BufRead, BufReader, Write};
-
-    const PATIENCE: Duration = Duration::from_secs(20);
-
-    fn with_runtime<T>(work: impl Future<Output = T>) -> T {
-        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
-        runtime.block_on(async { tokio::time::timeout(PATIENCE, work).await }).expect("an end")
-    }
-
-    #[test]
-    fn a_connection_that_does_not_come_up_fails_its_call_whatever_that_waits_for() {
-        let nobody = NeverUp::new();
-        let uri = "/api/targets?after=1&wait_ms=60000";
-        let failed = with_runtime(fetch(&mut None, nobody.address(), uri, Duration::from_millis(50)));
-        assert!(matches!(failed, Err(WatchError::Connect(_))), "{failed:?}");
-    }
-
-    #[test]
-    fn an_answer_that_ends_its_connection_fails_no_call_after_it() {
-        let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
-        let at = listener.local_addr().unwrap();
-        let served = std::thread::spawn(move || {
-            for tcp in listener.incoming().take(5) {
-                let mut tcp = tcp.unwrap();
-                let lines = BufReader::new(tcp.try_clone().unwrap()).lines();
-                lines.map(Result::unwrap).take_while(|line| !line.is_empty()).for_each(drop);
-                let body = r#"{"index":7,"snapshot":true,"endpoints":[]}"#;
-                let head = format!("HTTP/1.1 200 X\r\nConnection: close\r\nContent-Length: {}", body.len());
-                tcp.write_all(format!("{head}\r\n\r\n{body}").as_bytes()).unwrap();
-            }
-        });
-        with_runtime(async {
-            let mut link = None;
-            for call in 0..5 {
-                let answer = fetch(&mut link, at, "/api/targets", PATIENCE).await;
-                assert_eq!(answer.map(|list| list.index).map_err(|e| e.to_string()), Ok(7), "call {call}");
-            }
-        });
-        served.join().unwrap();
-    }
-
-    /// Whatever form an answer has: it is read, and so is the next, on the same connection or another.
-    #[test]
-    fn answers_of_any_form_are_read_and_spoil_no_call_after_them() {
-        let list = r#"{"index":7,"snapshot":true,"endpoints":[]}"#.to_string();
-        let entry = |n| {
-            format!("\n    {{\n      \"name\": \"b{n}\",\n      \"address\": \"10.0.0.1:80\",\n      \"status\": \"SERVING\"\n    }}")
-        };
-        let long: Vec<String> = (0..30_000).map(entry).collect();
-        let long = format!(
-            "{{\n  \"index\": 7,\n  \"snapshot\": true,\n  \"endpoints\": [{}]\n}}\n",
-            long.join(",")
-        );
-        let plain = |body: &str| format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}", body.len());
-        let (a, b) = list.split_at(9);
-        let chunks = format!("9\r\n{a}\r\n{:x};x=y\r\n{b}\r\n0\r\nX-Sum: 1\r\n\r\n", b.len());
-        let whole = [
-            (plain(&list), false),
-            (plain(&long), false),
-            (format!("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n{chunks}"), false),
-            (
-                format!(
-                    "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nX: y\r\n\r\n{}",
-                    plain(&list)
-                ),
-                false,
-            ),
-            (format!("HTTP/1.0 200 OK\r\n\r\n{list}"), true),
-            (format!("HTTP/1.1 200 OK\r\n\r\n{list}"), true),
-            (plain(&list).replace("1.1", "1.0"), true),
-            (plain(&list) + "HTTP/1.1 200 OK\r\n", false),
-        ];
-        let cut = plain(&list);
-        let broken = [
-            cut[..cut.len() - 1].to_string(),
-            chunks[..20].to_string(),
-            format!("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n{}", &chunks[..chunks.len() - 2]),
-            format!("HTTP/1.0 200 OK\r\n\r\n{}", &list[..list.len() - 1]),
-            "HTTP/1.1 101 Switching Protocols\r\nConnection: upgrade\r\nUpgrade: x\r\n\r\n".to_string(),
-            "HTTP/1.1 204 No Content\r\n\r\n".to_string(),
-        ];
-        let whole = whole.into_iter().map(|(text, ends)| (text, ends, true));
-        let broken = broken.into_iter().map(|text| (text, true, false));
-        for (first, ends, sound) in whole.chain(broken) {
-            let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
-            let at = listener.local_addr().unwrap();
-            let (answer, next) = (first.clone(), plain(&list));
-            let served = std::thread::spawn(move || {
-                let mut answers = [(answer, ends), (next, true)].into_iter();
-                for tcp in listener.incoming() {
-                    let mut tcp = tcp.unwrap();
-                    let mut lines = BufReader::new(tcp.try_clone().unwrap()).lines().map_while(Result::ok);
-                    while lines.by_ref().take_while(|line| !line.is_empty()).count() > 0 {
-                        let Some((text, ends)) = answers.next() else { return };
-                        let _ = tcp.write_all(text.as_bytes());
-                        if ends {
-                            break;
-                        }
-                    }
-                    if answers.len() == 0 {
-                        return;
-                    }
-                }
-            });
-            with_runtime(async {
-                let mut link = None;
-                let got = fetch(&mut link, at, "/api/targets", PATIENCE).await;
-                assert_eq!(got.is_ok(), sound, "{first:.200}: {:?}", got.map(|list| list.index));
-                link = link.filter(|_| sound); // as whoever follows does
-                let got = fetch(&mut link, at, "/api/targets", PATIENCE).await;
-                assert_eq!(got.map(|list| list.index).map_err(|e| e.to_string()), Ok(7), "{first:.200}");
-            });
-            served.join().unwrap();
-        }
-    }
-
-    #[test]
-    fn an_agent_that_was_silent_is_heard_within_two_thirds_of_any_grace() {
-        for ms in [170, 200, 300, 500, 700, 1000, 1500, 2000, 3000, 60_000] {
-            let grace = Duration::from_millis(ms);
-            let pace = Pace::pushed(grace);
-            assert!(pace.wait[1] + pace.prompt + pace.pause <= grace * 2 / 3, "{ms}: {pace:?}");
-            assert!(pace.prompt + pace.pause * 8 <= grace * 2 / 3, "{ms}: {pace:?}");
-        }
-        let longest = Pace::pushed(Duration::from_secs(3600));
-        let least = Pace::pushed(Duration::ZERO);
-        let times = |p: Pace| [p.wait[1], p.prompt, p.pause].map(|t| t.as_millis());
-        assert_eq!((times(longest), times(least)), ([1000, 500, 50], [50, 40, 5]));
-    }
-
-    /// Found silent, asked for after 0.15 s at most, failed after half a second, asked for after 0.3 s.
-    #[test]
-    fn a_watch_that_fell_silent_is_open_again_before_what_it_missed_counts() {
-        for ms in [150, 300, 500, 1000, 2000, 10_000] {
-            let (grace, pace) = (Duration::from_millis(ms), Pace::asked(Duration::from_millis(ms)));
-            let again = pace.prompt + Duration::from_millis(150 + 500 + 300 + 500);
-            assert!(again <= Duration::from_secs(2) + grace, "{ms}: {pace:?}");
-        }
-    }
-
-    /// The watches of all proxies fall silent together. A service that needs 5 s for a call of each, however many they
-    /// are, has answered each by the time at which what it missed counts.
-    #[test]
-    fn proxies_whose_watches_fell_silent_together_do_not_ask_together() {
-        let grace = Duration::from_millis(150);
-        let pace = Pace::asked(grace);
-        for proxies in [6u32, 20, 64, 300, 1000] {
-            for call in [0, 1, 7] {
-                let mut ends: Vec<Duration> = (0..proxies).map(|p| pace.wait(p, call)).collect();
-                ends.sort();
-                assert!(pace.wait[0] <= ends[0] && ends[ends.len() - 1] <= pace.wait[1]);
-                let (work, mut free) = (Duration::from_secs(5) / proxies, Duration::ZERO);
-                for end in ends {
-                    let asked = end + pace.prompt + Duration::from_millis(150);
-                    free = free.max(asked) + work;
-                    let late = free - end;
-                    assert!(late <= Duration::from_secs(2) + grace, "{proxies}, call {call}: {late:?}");
-                }
-            }
-        }
-    }
-}
--- /dev/null
+++ b/crates/watch/src/pace.rs
@@ -0,0 +1,58 @@
+//! How often and how long discovery is asked, so that a change is known in time.
+
+use std::time::Duration;
+
+/// How calls are made: what an outage leaves the proxy blind to is told once they are over.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct Pace {
+    /// One call waits so long for news, from the shortest to the longest of all proxies.
+    wait: [Duration; 2],
+    /// What an answer may take beyond that before discovery counts as silent.
+    pub(crate) prompt: Duration,
+    /// And what one to a call that waits for nothing may take: as long as others' calls may be worked on before it, and
+    /// longer once that was not enough.
+    turn: [Duration; 2],
+    /// Pause after the first failed call in a row, and at the least between two that brought nothing new; it
+    /// doubles, three times at most.
+    pub(crate) pause: Duration,
+}
+
+impl Pace {
+    /// Calls of a discovery that all proxies ask are dear to it, and it works through them in turn. A watch that fell
+    /// silent is opened anew before what it missed counts as told: 2 s after its wait is over, and the grace. Watches
+    /// fall silent together, and calls made in one moment would wait for each other for longer than that: so no two
+    /// proxies wait alike. A call in that line is not given up: it is worked on all the same, and one made in its
+    /// place stands behind it. Discovery itself fails what has waited too long.
+    pub(crate) fn asked(grace: Duration) -> Pace {
+        let prompt = (grace / 2 + Duration::from_millis(400)).min(Duration::from_millis(1500));
+        let (wait, turn) = ([6, 14].map(Duration::from_secs), [3, 6].map(Duration::from_secs));
+        Pace { wait, prompt, turn, pause: Duration::from_millis(50) }
+    }
+
+    /// An agent on the own machine answers at once and at no cost. A call that was out as it fell silent is never
+    /// answered, not even when it is back, and what it has counts as told meanwhile: so a wait, its answer's time
+    /// and a pause last no longer than two thirds of the grace, and so do an answer's time and the longest pause.
+    /// Below 170 ms of grace calls do not get any faster: they would cost more than they tell.
+    pub(crate) fn pushed(grace: Duration) -> Pace {
+        let part = |hundredths: u32, least: u64, most: u64| {
+            (grace * hundredths / 100).clamp(Duration::from_millis(least), Duration::from_millis(most))
+        };
+        let (wait, prompt) = (part(35, 50, 1000), part(25, 40, 500));
+        Pace { wait: [wait; 2], prompt, turn: [prompt; 2], pause: part(2, 5, 50) }
+    }
+
+    /// How long the so many-th call of a proxy waits. Multiples of the golden ratio lie evenly whatever their number:
+    /// so do the ends of the calls of proxies that watch in step.
+    pub(crate) fn wait(&self, position: u32, call: u32) -> Duration {
+        let part = (f64::from(position) + f64::from(call)) * 0.618_033_988_749_895;
+        self.wait[0] + (self.wait[1] - self.wait[0]).mul_f64(part.fract())
+    }
+
+    /// What the answer to a call may take that waits for nothing, the last of which was given up unanswered or not.
+    pub(crate) fn patience(&self, in_vain: bool) -> Duration {
+        self.turn[usize::from(in_vain)]
+    }
+}
+
+#[cfg(test)]
+mod tests;
