Ask a failing discovery again within 2.5 s, and give no call up later than 5 s

Where lists are asked for, a change counts as known 6 s after discovery had it and could be reached, whatever failed before, and 4 s after a SIGHUP. Two paths of the watch were over that, by computation and by test:

- The pause after a failed call is the module's: it doubles up to an eighth of must_ask_in_us, and half as much again by jitter.
At 60 s that is 11.2 s, and a move of discovery did not begin it anew.
- A call that waits for nothing was given up after 6 s once one had been in vain.
Discovery may be back just after it was made.

Pace::latest_retry bounds the time from one failed call to the next by 1.5 to 2.5 s, spread over the proxies so that they do not ask in step, and never at once; the longest patience is 5 s. Worst case: 2.5 s after a refusal, 3.15 s after one silent call, 5.15 s after further ones, each and the answer's time. Known deployments with must_ask_in_us under 13 s pause no longer than that already, so the load on discovery there is as it was. Lists that are pushed were in time on every path and are unchanged.

--- a/crates/watch/src/lib.rs
+++ b/crates/watch/src/lib.rs
@@ -144,7 +144,9 @@
                 if asked {
                     forget(host.followed(pool)).await;
                     host.members(pool, ListUpdate::Lost, Vec::new());
-                    host.followed(pool).await; // when to ask again is the module's to say
+                    // When to ask again is the module's to say, but not without bound.
+                    let latest = own.latest_retry(asked_at, Instant::now(), position, failures);
+                    let _ = tokio::time::timeout_at(latest.into(), host.followed(pool)).await;
                 } else {
                     tokio::time::sleep(own.pause * (1 << failures.min(4)) / 2).await;
                 }
--- a/crates/watch/src/pace.rs
+++ b/crates/watch/src/pace.rs
@@ -1,6 +1,6 @@
 //! How often and how long discovery is asked, so that a change is known in time.
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// How calls are made: what an outage leaves the proxy blind to is told once they are over.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -12,6 +12,9 @@
     /// And what one to a call that waits for nothing may take: as long as others' calls may be worked on before it, and
     /// longer once that was not enough.
     turn: [Duration; 2],
+    /// After a failed call the next is made no later than so long after that one was made, from the shortest to the
+    /// longest of all proxies.
+    retry: [Duration; 2],
     /// Pause after the first failed call in a row, and at the least between two that brought nothing new; it
     /// doubles, three times at most.
     pub(crate) pause: Duration,
@@ -23,10 +26,15 @@
     /// fall silent together, and calls made in one moment would wait for each other for longer than that: so no two
     /// proxies wait alike. A call in that line is not given up: it is worked on all the same, and one made in its
     /// place stands behind it. Discovery itself fails what has waited too long.
+    ///
+    /// Whatever failed before, a change is known 6 s after discovery had it and could be reached, and after a move 4 s
+    /// after the signal: that moment may come just after a call was given up or failed, so neither the time after
+    /// which one is given up nor that from one call to the next may be longer than that, less an answer's time.
     pub(crate) fn asked(grace: Duration) -> Pace {
         let prompt = (grace / 2 + Duration::from_millis(400)).min(Duration::from_millis(1500));
-        let (wait, turn) = ([6, 14].map(Duration::from_secs), [3, 6].map(Duration::from_secs));
-        Pace { wait, prompt, turn, pause: Duration::from_millis(50) }
+        let (wait, turn) = ([6, 14].map(Duration::from_secs), [3, 5].map(Duration::from_secs));
+        let retry = [1500, 2500].map(Duration::from_millis);
+        Pace { wait, prompt, turn, retry, pause: Duration::from_millis(50) }
     }
 
     /// An agent on the own machine answers at once and at no cost. A call that was out as it fell silent is never
@@ -37,15 +45,20 @@
         let part = |hundredths: u32, least: u64, most: u64| {
             (grace * hundredths / 100).clamp(Duration::from_millis(least), Duration::from_millis(most))
         };
-        let (wait, prompt) = (part(35, 50, 1000), part(25, 40, 500));
-        Pace { wait: [wait; 2], prompt, turn: [prompt; 2], pause: part(2, 5, 50) }
+        let (wait, prompt, pause) = (part(35, 50, 1000), part(25, 40, 500), part(2, 5, 50));
+        Pace { wait: [wait; 2], prompt, turn: [prompt; 2], retry: [pause * 8; 2], pause }
     }
 
-    /// How long the so many-th call of a proxy waits. Multiples of the golden ratio lie evenly whatever their number:
-    /// so do the ends of the calls of proxies that watch in step.
+    /// How long the so many-th call of a proxy waits.
     pub(crate) fn wait(&self, position: u32, call: u32) -> Duration {
-        let part = (f64::from(position) + f64::from(call)) * 0.618_033_988_749_895;
-        self.wait[0] + (self.wait[1] - self.wait[0]).mul_f64(part.fract())
+        spread(self.wait, position, call)
+    }
+
+    /// When the next call is made at the latest, after one that was made at that time and has failed by now, as so many
+    /// have in a row: not at once, as it may have failed late and at many proxies.
+    pub(crate) fn latest_retry(&self, made: Instant, now: Instant, position: u32, failures: u32) -> Instant {
+        let rest = spread([self.pause, self.pause * 3], position, failures);
+        (made + spread(self.retry, position, failures)).max(now + rest)
     }
 
     /// What the answer to a call may take that waits for nothing, the last of which was given up unanswered or not.
@@ -54,5 +67,12 @@
     }
 }
 
+/// A time between these two for the so many-th call of a proxy. Multiples of the golden ratio lie evenly whatever their
+/// number: so do the times of proxies that watch in step.
+fn spread([least, most]: [Duration; 2], position: u32, call: u32) -> Duration {
+    let part = (f64::from(position) + f64::from(call)) * 0.618_033_988_749_895;
+    least + (most - least).mul_f64(part.fract())
+}
+
 #[cfg(test)]
 mod tests;
--- a/crates/watch/src/pace/tests.rs
+++ b/crates/watch/src/pace/tests.rs
@@ -45,3 +45,35 @@
         }
     }
 }
+
+/// Discovery can be reached from just after a call failed, or was given up, whatever failed before. The next call is made,
+/// and answered in the time that the first to a service of all proxies may take, within the 6 s after which a change
+/// counts, and within 4 s after a move, which begins with no call given up.
+#[test]
+fn after_any_failure_the_next_call_is_answered_before_a_change_counts() {
+    let (counts, moved, answer) =
+        (Duration::from_secs(6), Duration::from_secs(4), Duration::from_millis(850));
+    for ms in [150, 300, 700, 1000, 2000, 10_000] {
+        let grace = Duration::from_millis(ms);
+        let (pace, made) = (Pace::asked(grace), Instant::now());
+        // From making a call that fails or is given up after that time to making the next.
+        let worst = |took: Duration| {
+            let next = |n: u32| pace.latest_retry(made, made + took, n % 300, n / 300) - made;
+            (0..9000).map(next).max().unwrap()
+        };
+        assert!(worst(Duration::ZERO) + answer <= moved, "{ms}: refused, {pace:?}");
+        assert!(worst(pace.prompt) + answer <= moved, "{ms}: no connection, {pace:?}");
+        assert!(worst(pace.patience(false)) + answer <= moved, "{ms}: given up, {pace:?}");
+        assert!(worst(pace.patience(true)) + answer <= counts, "{ms}: given up again, {pace:?}");
+    }
+}
+
+#[test]
+fn retries_of_many_proxies_that_failed_together_are_spread_over_a_second() {
+    let (pace, made) = (Pace::asked(Duration::from_secs(1)), Instant::now());
+    let mut at: Vec<Duration> = (0..300).map(|p| pace.latest_retry(made, made, p, 3) - made).collect();
+    at.sort();
+    let gaps = at.windows(2).map(|pair| pair[1] - pair[0]);
+    assert!(gaps.max().unwrap() < Duration::from_millis(10), "{at:?}");
+    assert!(at[299] - at[0] > Duration::from_millis(950));
+}
