--- a/crates/watch/src/call/tests.rs
+++ b/crates/watch/src/call/tests.rs
@@ -1,3 +1,5 @@
+//! Tests of `call` that need its private items.
+
 use super::*;
 use shaletide_testkit::NeverUp;
 use std::io::{BufRead, BufReader, Write};
--- a/crates/watch/src/pace/tests.rs
+++ b/crates/watch/src/pace/tests.rs
@@ -1,3 +1,5 @@
+//! Tests of `pace` that need its private items.
+
 use super::*;
 
 #[test]
