Trace each request in the log at NODE_LOG=trace

A request could not be followed by its id: no level of the log named one. Each step from the accept of its connection to the response is now an event of the target shaletide::request with the request's id, the connection's and the host's numbers, attempt, backend, outcome and the microseconds since accept and since the head was read. The trace object exists only where the level is on; elsewhere a request costs one check of the level. The first and last byte are told from the write itself. Tests follow a retried request and one whose client closes before the first byte, and find no such line at the usual level and at debug.

--- a/crates/http/src/accept.rs
+++ b/crates/http/src/accept.rs
@@ -5,7 +5,6 @@
 use crate::server::Server;
 use shaletide_balancer::Micros;
 use shaletide_net::Stream;
-use std::cell::Cell;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
@@ -58,14 +57,16 @@
         self.accepted.set(self.accepted.get() + 1);
         let key = self.next_connection.get();
         self.next_connection.set(key + 1);
-        let (stream, idle_since) = (Stream::new(tcp), Cell::new(self.host.clock.now()));
-        let client = Rc::new(Client::new(stream, idle_since, self.counters.clone()));
+        let now = self.host.clock.now();
+        let client = Rc::new(Client::new(key, Stream::new(tcp), now, self.counters.clone()));
+        client.trace_accepted();
         self.clients.borrow_mut().insert(key, client.clone());
         let server = self.clone();
         tokio::task::spawn_local(async move {
             let whole = server.serve(&client).await;
             client.release_slot();
             server.clients.borrow_mut().remove(&key);
+            client.trace_closed(server.host.clock);
             server.connection_ended.notify_one();
             if whole && client.announced_close.get() {
                 server.linger(&client).await;
--- a/crates/http/src/connection.rs
+++ b/crates/http/src/connection.rs
@@ -1,8 +1,8 @@
 //! A client's connection, its state and the counters that all connections share.
 
 use shaletide_balancer::Time;
-use shaletide_net::Stream;
-use std::cell::Cell;
+use shaletide_net::{RequestTrace, Stream};
+use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 use tokio::sync::Notify;
 
@@ -17,7 +17,12 @@
 
 /// A client's connection.
 pub(crate) struct Client {
+    /// Counts accepted connections.
+    pub(crate) number: u64,
+    pub(crate) accepted_at: Time,
     pub(crate) stream: Stream,
+    /// The trace of its present request, where requests are traced.
+    pub(crate) trace: RefCell<Option<Rc<RequestTrace>>>,
     counters: Rc<ConnectionCounters>,
     /// A request of it is being answered.
     pub(crate) busy: Cell<bool>,
@@ -41,19 +46,24 @@
 
 impl Client {
     /// A connection that takes a slot.
-    pub(crate) fn new(stream: Stream, idle_since: Cell<Time>, counters: Rc<ConnectionCounters>) -> Client {
+    pub(crate) fn new(
+        number: u64, stream: Stream, accepted_at: Time, counters: Rc<ConnectionCounters>,
+    ) -> Client {
         counters.active.set(counters.active.get() + 1);
         let (busy, proven, evicted) = (Cell::new(false), Cell::new(false), Cell::new(false));
         let (answered, announced_close) = (Cell::new(false), Cell::new(false));
         let (close_requested, body_since, body_changed) = (Notify::new(), Cell::new(None), Notify::new());
         Client {
+            number,
+            accepted_at,
             stream,
+            trace: RefCell::new(None),
             counters,
             busy,
             proven,
             answered,
             announced_close,
-            idle_since,
+            idle_since: Cell::new(accepted_at),
             evicted,
             close_requested,
             body_since,
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -18,6 +18,7 @@
 #[cfg(test)]
 mod testing;
 mod timer;
+mod trace;
 mod upstream;
 
 pub use listener::listen;
--- a/crates/http/src/proxy.rs
+++ b/crates/http/src/proxy.rs
@@ -16,7 +16,7 @@
 use hyper::{Request, Response, StatusCode};
 use shaletide_balancer::*;
 use shaletide_engine::Order;
-use shaletide_net::{strip_hop_by_hop, Host, Named, NotTaken};
+use shaletide_net::{strip_hop_by_hop, Host, Named, NotTaken, RequestEvent};
 use std::cell::RefCell;
 use std::rc::Rc;
 
@@ -30,6 +30,7 @@
     ) -> Response<Full<Bytes>> {
         let rules = self.rules();
         let (head, body) = request.into_parts();
+        client.trace_request(self.host.clock, &rules, &head);
         let result = match (check_target(&head), head.uri.path()) {
             (Err(fault), _) => Err(fault),
             (Ok(()), "/-/ready") => ready(client, &rules, &head, &body),
@@ -37,15 +38,17 @@
         };
         // What follows an invalid request on its connection may be no request at all.
         let is_invalid = result.is_err();
-        let mut response = result.unwrap_or_else(|fault| self.reject(&rules, fault));
+        let mut response = result.unwrap_or_else(|fault| self.reject(client, &rules, fault));
         // A request may be complete, and is served, just as its connection is evicted.
         if is_invalid || client.is_evicted() || self.stop_deadline.get().is_some() || self.is_crowded() {
             end_connection(&mut response);
         }
+        client.trace(|trace| trace.answered(response.status().as_u16()));
         response
     }
 
-    fn reject(&self, rules: &Rules, fault: Fault) -> Response<Full<Bytes>> {
+    fn reject(&self, client: &Client, rules: &Rules, fault: Fault) -> Response<Full<Bytes>> {
+        client.trace(|trace| trace.rejected(fault));
         self.rejected.set(self.rejected.get() + 1);
         let (status, text) = fault.answer(rules);
         let mut response = plain(status, text);
@@ -97,6 +100,7 @@
                 return Ok(response);
             }
         };
+        client.trace(|trace| trace.event(RequestEvent::BodyRead));
         // A client sends nothing before it has its response: the length is wrong, or a request is hidden in the body.
         if client.stream.has_excess_bytes(body.len()) {
             return Err(Fault::Length);
@@ -130,6 +134,7 @@
             Some(id) => id,
             None => {
                 let id = self.give_id().ok_or(Fault::Id)?;
+                client.trace(|trace| trace.set_id(id.as_bytes()));
                 headers.insert(rules.id.clone(), id.clone());
                 id
             }
@@ -145,6 +150,7 @@
             headers,
             body,
             client: Some(client.stream.watch()),
+            trace: client.trace.borrow().clone(),
             time_left: rules.time_left.clone(),
             answers: directions.answers.clone(),
             got: RefCell::default(),
--- /dev/null
+++ b/crates/http/src/trace.rs
@@ -0,0 +1,48 @@
+//! Log events of the client side of a request: see [`shaletide_net::RequestTrace`].
+
+use crate::connection::Client;
+use crate::rules::Rules;
+use hyper::http::request::Parts;
+use shaletide_balancer::Time;
+use shaletide_net::{request_trace_enabled, Clock, RequestEvent, RequestTrace, REQUEST_TARGET};
+use std::rc::Rc;
+
+impl Client {
+    /// The connection was accepted.
+    pub(crate) fn trace_accepted(&self) {
+        self.trace_connection("accepted", || self.accepted_at);
+    }
+
+    /// The connection has ended.
+    pub(crate) fn trace_closed(&self, clock: Clock) {
+        self.trace_connection("connection_closed", || clock.now());
+    }
+
+    /// The time is asked for only where the event is logged.
+    fn trace_connection(&self, event: &str, now: impl FnOnce() -> Time) {
+        tracing::trace!(
+            target: REQUEST_TARGET,
+            event,
+            connection = self.number,
+            since_accept_us = (now() - self.accepted_at).0,
+        );
+    }
+
+    /// The head of a request was read: from now on its events are emitted, where they are logged.
+    pub(crate) fn trace_request(&self, clock: Clock, rules: &Rules, head: &Parts) {
+        if !request_trace_enabled() {
+            return;
+        }
+        let id = head.headers.get(&rules.id).map_or(&[][..], |id| id.as_bytes());
+        let trace = RequestTrace::new(clock, id, self.number, self.accepted_at);
+        trace.event(RequestEvent::HeadRead);
+        self.trace.replace(Some(Rc::new(trace)));
+    }
+
+    /// An event of the present request.
+    pub(crate) fn trace(&self, event: impl FnOnce(&RequestTrace)) {
+        if let Some(trace) = &*self.trace.borrow() {
+            event(trace);
+        }
+    }
+}
--- a/crates/http/src/upstream.rs
+++ b/crates/http/src/upstream.rs
@@ -8,7 +8,7 @@
 use hyper::{HeaderMap, Method, Request, StatusCode, Uri, Version};
 use shaletide_balancer::{AttemptNo, LoadReport};
 use shaletide_net::{
-    driven, strip_hop_by_hop, ExchangeFuture, ExchangeOutcome, ExchangeSpec, PeerWatch, Stream,
+    driven, strip_hop_by_hop, ExchangeFuture, ExchangeOutcome, ExchangeSpec, PeerWatch, RequestTrace, Stream,
     UpstreamRequest,
 };
 use shaletide_routing::{Answers, Errors, LastAnswer, Verdict};
@@ -32,6 +32,8 @@
     pub body: Bytes,
     /// The connection of its client.
     pub client: Option<PeerWatch>,
+    /// Its trace, where requests are traced.
+    pub trace: Option<Rc<RequestTrace>>,
     /// The header that tells a backend how long the proxy waits, in seconds.
     pub time_left: HeaderName,
     /// How the request's route judges responses.
@@ -66,6 +68,10 @@
         self.client.as_ref()
     }
 
+    fn trace(&self) -> Option<&Rc<RequestTrace>> {
+        self.trace.as_ref()
+    }
+
     fn run(self: Rc<Self>, spec: ExchangeSpec) -> ExchangeFuture {
         Box::pin(async move {
             let request = outgoing(&self, spec.to, spec.left);
--- a/crates/net/src/exchange.rs
+++ b/crates/net/src/exchange.rs
@@ -1,6 +1,7 @@
 //! The interface between the host and a protocol: how one attempt of a request is carried out on a connection.
 
 use crate::stream::{PeerWatch, Stream};
+use crate::trace::RequestTrace;
 use shaletide_base::{AttemptNo, LoadReport};
 use shaletide_routing::Verdict;
 use std::future::Future;
@@ -53,6 +54,11 @@
     /// The client's connection, if there is one: no attempt begins once the client has closed it.
     fn client(&self) -> Option<&PeerWatch>;
 
+    /// Its trace, where requests are traced.
+    fn trace(&self) -> Option<&Rc<RequestTrace>> {
+        None
+    }
+
     /// Writes the request and reads its response. Must call [`Stream::begin_request`] before the first byte, so that
     /// the host knows when the last one was written.
     fn run(self: Rc<Self>, spec: ExchangeSpec) -> ExchangeFuture;
--- a/crates/net/src/host.rs
+++ b/crates/net/src/host.rs
@@ -5,6 +5,7 @@
 use crate::lines::{Line, Lines};
 use crate::recording::{Named, Recording};
 use crate::stream::{PeerWatch, Stream};
+use crate::trace::{request_trace_enabled, AttemptEvent, AttemptOutcome, AttemptTrace, RequestEvent};
 use crate::{span, Clock};
 use shaletide_balancer::*;
 use shaletide_engine::monitor::{Monitor, Rules};
@@ -95,6 +96,14 @@
     conflict: Option<KeyConflict>,
 }
 
+impl Open {
+    /// The trace of an attempt, where requests are traced.
+    fn trace(&self, attempt: AttemptNo, backend: BackendId) -> Option<AttemptTrace> {
+        let request = self.upstream_request.trace()?.clone();
+        Some(AttemptTrace { request, attempt, backend })
+    }
+}
+
 /// What happened since the last line about it.
 #[derive(Default)]
 struct Counts {
@@ -279,6 +288,7 @@
         // Each attempt asks again: a request that need not be taken costs no decision and no connection.
         if upstream_request.client().is_some_and(PeerWatch::closed) {
             self.state.borrow_mut().counts.gone += 1;
+            upstream_request.trace().inspect(|trace| trace.event(RequestEvent::ClientClosed));
             return Err(NotTaken::ClientClosed);
         }
         let now = self.clock.now();
@@ -296,6 +306,7 @@
                 Some(Verdict::Go { permit }) => Some(permit),
                 Some(verdict) => return Err(NotTaken::Record(verdict)),
             };
+        upstream_request.trace().inspect(|trace| trace.taken(id));
         let (answer, wait) = oneshot::channel();
         let open = Open { upstream_request, answer, recorded, conflict: None };
         self.state.borrow_mut().open.insert(id, open);
@@ -386,6 +397,7 @@
             let mut s = self.state.borrow_mut();
             let Some(open) = s.open.remove(&id) else { return };
             s.counts.gone += 1;
+            open.upstream_request.trace().inspect(|trace| trace.event(RequestEvent::ClientClosed));
             open.recorded.is_some()
         };
         self.tell(Event::Left { request: id });
@@ -546,6 +558,7 @@
                 if let Some(line) = line.filter(|line| line.busy) {
                     // Dropped, it writes nothing more: how far it has got is certain now.
                     let written = line.stream.as_ref().is_some_and(Stream::request_written);
+                    line.stream.as_ref().inspect(|stream| stream.end_trace(|| AttemptOutcome::Cancelled));
                     s.events.push_back(Event::Closed { conn, written });
                 }
             }
@@ -574,6 +587,7 @@
             return;
         };
         s.lines.opened += 1;
+        s.trace_opening(conn, AttemptEvent::Connecting);
         let host = self.clone();
         let task = tokio::task::spawn_local(async move {
             let timeout = span(host.network.get().connect_timeout);
@@ -586,6 +600,7 @@
                     // Out of descriptors: that is this proxy's own trouble, and no sign of the backend's.
                     let own = matches!(&failed, Ok(Err(e)) if matches!(e.raw_os_error(), Some(23 | 24)));
                     let mut s = host.state.borrow_mut();
+                    s.trace_opening(conn, AttemptEvent::ConnectFailed);
                     s.lines.all.remove(&conn);
                     s.counts.unconnected += 1;
                     Event::ConnectFailed { conn, blame: !own }
@@ -597,7 +612,7 @@
             }
         });
         let task = Some(task.abort_handle());
-        s.lines.all.insert(conn, Line { to, stream: None, task, busy: false, fresh: false });
+        s.lines.all.insert(conn, Line { backend, to, stream: None, task, busy: false, fresh: false });
     }
 
     fn send(
@@ -612,6 +627,7 @@
             .filter(|line| line.stream.as_ref().is_some_and(|stream| !stream.has_pending_input_as_polled()));
         let (Some(line), Some(open)) = (fit, s.open.get(&request)) else {
             s.counts.unfit += 1;
+            s.trace_unusable(conn, request, attempt);
             s.events.push_back(unusable(conn, fresh));
             return;
         };
@@ -624,6 +640,7 @@
         stream.prepare_request(); // until the request says what it writes, nothing is written
         stream.set_write_deadline(by.map(|by| self.clock.instant(by).into_std()));
         stream.set_client(open.upstream_request.client().cloned());
+        stream.begin_trace(open.trace(attempt, line.backend));
         let (host, run) = (self.clone(), open.upstream_request.clone().run(exchange));
         let task = tokio::task::spawn_local(async move {
             let outcome = run.await;
@@ -636,6 +653,7 @@
         self: &Rc<Self>, conn: ConnId, request: RequestId, outcome: ExchangeOutcome, stream: &Stream,
         fresh: bool,
     ) {
+        stream.end_trace(|| AttemptOutcome::of(&outcome, !stream.is_unwritten()));
         let ended = matches!(outcome, ExchangeOutcome::Spoilt | ExchangeOutcome::Ended);
         if ended && stream.is_unwritten() && stream.client_closed() && self.is_open(request) {
             return self.client_gone(request); // the connection is closed with it, and its backend not blamed
@@ -795,6 +813,26 @@
 }
 
 impl State {
+    /// An event of the attempt for which a connection is being established.
+    fn trace_opening(&self, conn: ConnId, event: AttemptEvent) {
+        if !request_trace_enabled() {
+            return;
+        }
+        let opening = self.engine.connections().find(|(id, ..)| *id == conn);
+        if let Some((_, backend, ConnStep::Opening(Some((request, attempt))))) = opening {
+            let open = self.open.get(&request);
+            open.and_then(|open| open.trace(attempt, backend)).inspect(|trace| trace.event(event));
+        }
+    }
+
+    /// An attempt was given a connection that cannot be used.
+    fn trace_unusable(&self, conn: ConnId, request: RequestId, attempt: AttemptNo) {
+        let backend = self.lines.all.get(&conn).map(|line| line.backend);
+        let trace =
+            self.open.get(&request).zip(backend).and_then(|(open, backend)| open.trace(attempt, backend));
+        trace.inspect(|trace| trace.event(AttemptEvent::ConnectionUnusable));
+    }
+
     fn came_up(&mut self, conn: ConnId, stream: Stream) {
         if let Some(line) = self.lines.all.get_mut(&conn) {
             (line.stream, line.task, line.fresh) = (Some(stream), None, true);
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -8,12 +8,14 @@
 mod lines;
 mod recording;
 mod stream;
+mod trace;
 
 pub use driven::{driven, BoxError};
 pub use exchange::{ExchangeFuture, ExchangeOutcome, ExchangeSpec, UpstreamRequest};
 pub use host::{Answer, Host, Network, NotTaken, PoolSetup};
 pub use recording::{Named, Recording};
 pub use stream::{PeerWatch, Stream};
+pub use trace::{request_trace_enabled, RequestEvent, RequestTrace, REQUEST_TARGET};
 
 use shaletide_balancer::Time;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
--- a/crates/net/src/lines.rs
+++ b/crates/net/src/lines.rs
@@ -1,13 +1,14 @@
 //! The sockets behind the engine's connections.
 
 use crate::stream::Stream;
-use shaletide_base::ConnId;
+use shaletide_base::{BackendId, ConnId};
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use tokio::task::AbortHandle;
 
 /// A connection's socket and what is done on it.
 pub(crate) struct Line {
+    pub backend: BackendId,
     pub to: SocketAddr,
     /// None while it comes up.
     pub stream: Option<Stream>,
--- a/crates/net/src/stream.rs
+++ b/crates/net/src/stream.rs
@@ -1,6 +1,7 @@
 //! A TCP stream under hyper that can also be looked at from outside: how much of a request was written,
 //! and whether the other side has closed or sent anything.
 
+use crate::trace::{AttemptEvent, AttemptOutcome, AttemptTrace};
 use hyper::rt::{Read, ReadBufCursor, Write};
 use rustix::event::{PollFd, PollFlags, Timespec};
 use std::cell::{Cell, RefCell};
@@ -121,6 +122,8 @@
     full: Cell<bool>,
     /// How often something was read, and told each time.
     reads: Cell<u64>,
+    /// The attempt that is on it, where requests are traced.
+    attempt: RefCell<Option<AttemptTrace>>,
     more: Notify,
 }
 
@@ -153,6 +156,7 @@
             received,
             full,
             reads,
+            attempt: RefCell::new(None),
             more,
         }))
     }
@@ -215,10 +219,35 @@
         self.0.out.get() == Head::Whole && self.0.body_left.get() == 0
     }
 
+    /// The attempt that is written from now on, where requests are traced.
+    pub(crate) fn begin_trace(&self, attempt: Option<AttemptTrace>) {
+        if let Some(attempt) = &attempt {
+            attempt.event(AttemptEvent::Dispatched);
+        }
+        self.0.attempt.replace(attempt);
+    }
+
+    /// That attempt has ended.
+    pub(crate) fn end_trace(&self, outcome: impl FnOnce() -> AttemptOutcome) {
+        if let Some(attempt) = self.0.attempt.take() {
+            attempt.event(AttemptEvent::Ended(outcome()));
+        }
+    }
+
     fn wrote(&self, bytes: &[u8]) {
         let s = &self.0;
+        let before = (s.unwritten.get(), self.request_written());
         s.unwritten.set(s.unwritten.get() && bytes.is_empty());
         s.body_left.set(s.body_left.get().saturating_sub(behind_head(&s.out, bytes)));
+        if let Some(attempt) = &*s.attempt.borrow() {
+            let (unwritten, written) = before;
+            if unwritten && !s.unwritten.get() {
+                attempt.event(AttemptEvent::FirstByteWritten);
+            }
+            if !written && self.request_written() {
+                attempt.event(AttemptEvent::Written);
+            }
+        }
     }
 
     fn read(&self, bytes: &[u8]) {
--- /dev/null
+++ b/crates/net/src/trace.rs
@@ -0,0 +1,206 @@
+//! Log events by which a single request can be followed, from the accept of its connection to the response.
+//!
+//! All have the target [`REQUEST_TARGET`] and level TRACE. A [`RequestTrace`] exists only where these are logged, so that
+//! elsewhere a request costs one check of the level.
+
+use crate::exchange::ExchangeOutcome;
+use crate::Clock;
+use shaletide_base::{AttemptNo, BackendId, RequestId, Time};
+use shaletide_routing::Verdict;
+use std::cell::{Cell, RefCell};
+use std::rc::Rc;
+
+/// The target of the events.
+pub const REQUEST_TARGET: &str = "shaletide::request";
+
+/// The longest id that is logged, in bytes.
+const MAX_ID: usize = 128;
+
+/// Whether the events are logged.
+pub fn request_trace_enabled() -> bool {
+    tracing::enabled!(target: REQUEST_TARGET, tracing::Level::TRACE)
+}
+
+/// What happened to a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RequestEvent {
+    /// Its head was read.
+    HeadRead,
+    /// Its body was read completely.
+    BodyRead,
+    /// The host accepted it and numbered it.
+    Taken,
+    /// Its client closed the connection before it was answered.
+    ClientClosed,
+}
+
+impl RequestEvent {
+    fn name(self) -> &'static str {
+        match self {
+            RequestEvent::HeadRead => "head_read",
+            RequestEvent::BodyRead => "body_read",
+            RequestEvent::Taken => "taken",
+            RequestEvent::ClientClosed => "client_closed",
+        }
+    }
+}
+
+/// Emits the events of one request.
+pub struct RequestTrace {
+    clock: Clock,
+    id: RefCell<String>,
+    connection: u64,
+    accepted_at: Time,
+    head_read_at: Time,
+    request: Cell<Option<u64>>,
+}
+
+/// What some events have in addition.
+#[derive(Default)]
+struct Details<'a> {
+    attempt: Option<u32>,
+    backend: Option<u32>,
+    outcome: Option<&'a str>,
+    status: Option<u16>,
+    fault: Option<&'a str>,
+}
+
+impl RequestTrace {
+    /// For the request with that id, whose head has just been read from the connection of that number.
+    pub fn new(clock: Clock, id: &[u8], connection: u64, accepted_at: Time) -> RequestTrace {
+        let (head_read_at, request) = (clock.now(), Cell::new(None));
+        RequestTrace { clock, id: RefCell::new(text(id)), connection, accepted_at, head_read_at, request }
+    }
+
+    /// The request came without an id and was given this one.
+    pub fn set_id(&self, id: &[u8]) {
+        self.id.replace(text(id));
+    }
+
+    /// Emits an event.
+    pub fn event(&self, event: RequestEvent) {
+        self.emit(event.name(), Details::default());
+    }
+
+    /// The request was rejected before the host accepted it.
+    pub fn rejected(&self, fault: impl std::fmt::Debug) {
+        self.emit("rejected", Details { fault: Some(&format!("{fault:?}")), ..Details::default() });
+    }
+
+    /// Its response was handed to the connection.
+    pub fn answered(&self, status: u16) {
+        self.emit("answered", Details { status: Some(status), ..Details::default() });
+    }
+
+    /// The host accepted it under that number, which its further events have.
+    pub(crate) fn taken(&self, request: RequestId) {
+        self.request.set(Some(request.0));
+        self.event(RequestEvent::Taken);
+    }
+
+    fn emit(&self, event: &str, details: Details<'_>) {
+        let now = self.clock.now();
+        let Details { attempt, backend, outcome, status, fault } = details;
+        tracing::trace!(
+            target: REQUEST_TARGET,
+            event,
+            id = self.id.borrow().as_str(),
+            connection = self.connection,
+            request = self.request.get(),
+            attempt,
+            backend,
+            outcome,
+            status,
+            fault,
+            since_accept_us = (now - self.accepted_at).0,
+            since_head_us = (now - self.head_read_at).0,
+        );
+    }
+}
+
+/// An id as it is logged.
+fn text(id: &[u8]) -> String {
+    String::from_utf8_lossy(&id[..id.len().min(MAX_ID)]).into_owned()
+}
+
+/// What happened to an attempt.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum AttemptEvent {
+    /// It waits for a new connection to its backend.
+    Connecting,
+    /// That connection could not be established.
+    ConnectFailed,
+    /// It was given an established connection.
+    Dispatched,
+    /// Its first byte was handed to the kernel.
+    FirstByteWritten,
+    /// Its last byte was.
+    Written,
+    /// The connection turned out to be unusable before its first byte: it needs another.
+    ConnectionUnusable,
+    /// It has ended.
+    Ended(AttemptOutcome),
+}
+
+/// How an attempt ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum AttemptOutcome {
+    /// By a response with this meaning.
+    Answered(Verdict),
+    /// By invalid bytes or a response that took too long.
+    InvalidResponse,
+    /// By the end of the connection.
+    ConnectionClosed,
+    /// Nothing of it was written.
+    NotWritten,
+    /// The proxy gave it up.
+    Cancelled,
+}
+
+impl AttemptOutcome {
+    /// What an exchange of which a byte was `written` or not means.
+    pub fn of(outcome: &ExchangeOutcome, written: bool) -> AttemptOutcome {
+        match outcome {
+            ExchangeOutcome::Answered { verdict, .. } => AttemptOutcome::Answered(*verdict),
+            _ if !written => AttemptOutcome::NotWritten,
+            ExchangeOutcome::Spoilt => AttemptOutcome::InvalidResponse,
+            ExchangeOutcome::Ended => AttemptOutcome::ConnectionClosed,
+        }
+    }
+
+    fn name(self) -> &'static str {
+        match self {
+            AttemptOutcome::Answered(Verdict::Served) => "served",
+            AttemptOutcome::Answered(Verdict::NeverRan) => "never_ran",
+            AttemptOutcome::Answered(Verdict::Error) => "error",
+            AttemptOutcome::InvalidResponse => "invalid_response",
+            AttemptOutcome::ConnectionClosed => "connection_closed",
+            AttemptOutcome::NotWritten => "not_written",
+            AttemptOutcome::Cancelled => "cancelled",
+        }
+    }
+}
+
+/// Emits the events of one attempt.
+pub(crate) struct AttemptTrace {
+    pub request: Rc<RequestTrace>,
+    pub attempt: AttemptNo,
+    pub backend: BackendId,
+}
+
+impl AttemptTrace {
+    /// Emits an event.
+    pub fn event(&self, event: AttemptEvent) {
+        let (name, outcome) = match event {
+            AttemptEvent::Connecting => ("connecting", None),
+            AttemptEvent::ConnectFailed => ("connect_failed", None),
+            AttemptEvent::Dispatched => ("dispatched", None),
+            AttemptEvent::FirstByteWritten => ("first_byte_written", None),
+            AttemptEvent::Written => ("written", None),
+            AttemptEvent::ConnectionUnusable => ("connection_unusable", None),
+            AttemptEvent::Ended(outcome) => ("attempt_ended", Some(outcome.name())),
+        };
+        let (attempt, backend) = (Some(self.attempt.0), Some(self.backend.0));
+        self.request.emit(name, Details { attempt, backend, outcome, ..Details::default() });
+    }
+}
--- /dev/null
+++ b/crates/shaletide/tests/request_trace.rs
@@ -0,0 +1,153 @@
+//! Requests followed through the log: with NODE_LOG=trace each has its events in order, at the usual level none.
+
+mod rig;
+
+use rig::*;
+use std::collections::HashMap;
+use std::sync::atomic::{AtomicUsize, Ordering::SeqCst};
+use std::sync::Arc;
+
+/// How the lines of the trace begin, behind time and level.
+const TARGET: &str = "shaletide::request:";
+
+/// A line of the trace: its fields by name.
+#[derive(Debug)]
+struct Event(HashMap<String, String>);
+
+impl Event {
+    /// `None` for any other line.
+    fn parse(line: &str) -> Option<Event> {
+        let (_, fields) = line.split_once(TARGET)?;
+        let pairs = fields.split_whitespace().filter_map(|field| field.split_once('='));
+        Some(Event(pairs.map(|(name, value)| (name.into(), value.trim_matches('"').into())).collect()))
+    }
+
+    fn get(&self, name: &str) -> Option<&str> {
+        self.0.get(name).map(String::as_str)
+    }
+
+    fn number(&self, name: &str) -> Option<u64> {
+        self.get(name)?.parse().ok()
+    }
+
+    /// What happened, with the attempt, the outcome and the status where it has them.
+    fn step(&self) -> String {
+        let event = self.get("event").unwrap_or_default().to_string();
+        let details = ["attempt", "outcome", "status"].iter().filter_map(|name| self.get(name));
+        details.fold(event, |step, detail| format!("{step} {detail}"))
+    }
+}
+
+/// All events of the request with that id and of its connection.
+fn trace_of(proxy: &Proxy, id: &str) -> Vec<Event> {
+    let events: Vec<Event> = proxy.log.since(0).iter().filter_map(|line| Event::parse(line)).collect();
+    let of_request = |event: &Event| event.get("id") == Some(id);
+    let connection =
+        events.iter().find(|e| of_request(e)).and_then(|e| e.number("connection")).expect("a head");
+    let is_part = |e: &Event| match e.get("id") {
+        Some(other) => other == id,
+        None => e.number("connection") == Some(connection),
+    };
+    events.into_iter().filter(is_part).collect()
+}
+
+fn steps(events: &[Event]) -> Vec<String> {
+    events.iter().map(Event::step).collect()
+}
+
+/// Waits for the end of the connection on which the request with that id came.
+fn connection_closed(proxy: &Proxy, id: &str) {
+    let line = proxy.log.expect(0, &format!("id=\"{id}\" connection="));
+    let connection = Event::parse(&line).and_then(|e| e.number("connection")).expect("a number");
+    proxy.log.expect(0, &format!("event=\"connection_closed\" connection={connection} "));
+}
+
+/// Two backends, of which that asked first answers that it has not run the request.
+fn first_unprocessed() -> [BackendServer; 2] {
+    let asked = Arc::new(AtomicUsize::new(0));
+    [(); 2].map(|()| {
+        let asked = asked.clone();
+        BackendServer::start(move |_| match asked.fetch_add(1, SeqCst) {
+            0 => Reply::Answer(503, "X-Unprocessed: 1", "no".into()),
+            _ => ok("x"),
+        })
+    })
+}
+
+fn start(level: Option<&str>, backends: &[BackendServer]) -> Proxy {
+    let entries: Vec<String> =
+        backends.iter().enumerate().map(|(n, b)| entry(&format!("b{n}"), b.address, "SERVING")).collect();
+    match level {
+        Some(level) => program().log_level(level).start(&entries),
+        None => program().start(&entries),
+    }
+}
+
+#[test]
+fn retried_request_is_traced_from_accept_to_close() {
+    let backends = first_unprocessed();
+    let proxy = start(Some("trace"), &backends);
+    let request = pay(3.0);
+    assert_eq!(proxy.ask(&request).status(), 200);
+    let id = id_of(&request);
+    connection_closed(&proxy, id);
+    let events = trace_of(&proxy, id);
+    let expected = [
+        "accepted",
+        "head_read",
+        "body_read",
+        "taken",
+        "connecting 0",
+        "dispatched 0",
+        "first_byte_written 0",
+        "written 0",
+        "attempt_ended 0 never_ran",
+        "connecting 1",
+        "dispatched 1",
+        "first_byte_written 1",
+        "written 1",
+        "attempt_ended 1 served",
+        "answered 200",
+        "connection_closed",
+    ];
+    assert_eq!(steps(&events), expected);
+    let taken = events.iter().position(|e| e.get("event") == Some("taken")).unwrap();
+    let request = events[taken].number("request").expect("the host's number");
+    for event in &events[taken..events.len() - 1] {
+        assert_eq!(event.number("request"), Some(request), "{event:?}");
+        assert_eq!(event.number("attempt").is_some(), event.number("backend").is_some(), "{event:?}");
+    }
+    let with_head = &events[1..events.len() - 1];
+    for (field, events) in [("since_accept_us", &events[..]), ("since_head_us", with_head)] {
+        let times: Vec<u64> = events.iter().filter_map(|e| e.number(field)).collect();
+        assert!(times.is_sorted() && times.len() == events.len(), "{field}: {times:?}");
+    }
+}
+
+#[test]
+fn request_whose_client_closes_before_the_first_byte_is_traced_without_an_attempt() {
+    let proxy = start(Some("trace"), &[]); // it is held until a backend comes
+    let request = pay(3.0);
+    let id = id_of(&request);
+    let mut client = proxy.client();
+    client.send(&request);
+    proxy.log.expect(0, &format!("event=\"taken\" id=\"{id}\""));
+    drop(client);
+    connection_closed(&proxy, id);
+    let expected = ["accepted", "head_read", "body_read", "taken", "client_closed", "connection_closed"];
+    assert_eq!(steps(&trace_of(&proxy, id)), expected);
+}
+
+#[test]
+fn requests_are_not_traced_at_the_usual_level() {
+    for level in [None, Some("debug")] {
+        let backends = first_unprocessed();
+        let proxy = start(level, &backends);
+        assert_eq!(proxy.ask(&pay(3.0)).status(), 200);
+        proxy.signal("TERM");
+        proxy.log.expect(0, "stopped");
+        let traced: Vec<String> =
+            proxy.log.since(0).into_iter().filter(|line| line.contains(TARGET)).collect();
+        assert!(traced.is_empty(), "{level:?}: {traced:?}");
+    }
+}
--- a/crates/testkit/src/proxy.rs
+++ b/crates/testkit/src/proxy.rs
@@ -22,7 +22,11 @@
 
 /// Where the program's file is: only its own package's tests are told.
 #[derive(Clone, Debug)]
-pub struct Program(PathBuf);
+pub struct Program {
+    path: PathBuf,
+    /// NODE_LOG, where it is set.
+    log_level: Option<String>,
+}
 
 /// The program at work; ends when this is dropped.
 #[derive(Debug)]
@@ -66,7 +70,12 @@
 impl Program {
     /// The program in that file.
     pub fn at(path: impl Into<PathBuf>) -> Program {
-        Program(path.into())
+        Program { path: path.into(), log_level: None }
+    }
+
+    /// The same program, started with this NODE_LOG.
+    pub fn log_level(self, level: &str) -> Program {
+        Program { log_level: Some(level.into()), ..self }
     }
 
     /// Starts it with these entries as the list that it knows from before.
@@ -139,11 +148,14 @@
     fn limited(&self, config: Option<&Path>, descriptors: u32) -> Command {
         let mut command = Command::new("sh");
         let line = format!("ulimit -n {descriptors}; exec \"$0\" \"$@\"");
-        command.args(["-c", &line]).arg(&self.0);
+        command.args(["-c", &line]).arg(&self.path);
         command.env_remove("NODE_CONFIG").stderr(Stdio::piped()).stdout(Stdio::null());
         if let Some(path) = config {
             command.env("NODE_CONFIG", path);
         }
+        if let Some(level) = &self.log_level {
+            command.env("NODE_LOG", level);
+        }
         command
     }
 }
