Compute the time told to a backend as its request is written

Cause: the host computed the time left where it handled the engine's action, and the request was written one turn of the event loop later: a late loop told the backend more than the client had left.

Change: ExchangeSpec carries the deadline; the front subtracts the present as it writes. Result: time_told_is_what_is_left_as_the_request_is_written told 20.000 s of 20 s after a pause of 0.3 s before, and tells at most 19.7 s now.

--- a/crates/http/src/upstream.rs
+++ b/crates/http/src/upstream.rs
@@ -15,7 +15,7 @@
 use std::cell::RefCell;
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// The largest head, to which hyper holds a connection's buffer.
 const MAX_HEAD: usize = 32 * 1024;
@@ -74,7 +74,8 @@
 
     fn run(self: Rc<Self>, spec: ExchangeSpec) -> ExchangeFuture {
         Box::pin(async move {
-            let request = outgoing(&self, spec.to, spec.left);
+            let time_left = spec.deadline.saturating_duration_since(Instant::now());
+            let request = outgoing(&self, spec.to, time_left);
             spec.stream.begin_request(self.body.len());
             match exchange(&spec.stream, request, (spec.stall, spec.max_body)).await {
                 Ok(Answered { got, keep, excess }) => {
--- a/crates/http/src/upstream/tests.rs
+++ b/crates/http/src/upstream/tests.rs
@@ -29,8 +29,8 @@
             got: RefCell::default(),
         });
         let stream = Stream::new(tokio::net::TcpStream::connect(to).await.unwrap());
-        let (attempt, left, max_body) = (AttemptNo(0), Duration::from_secs(20), 64);
-        let spec = ExchangeSpec { attempt, stream: stream.clone(), to, left, stall, max_body };
+        let (attempt, deadline, max_body) = (AttemptNo(0), Instant::now() + Duration::from_secs(20), 64);
+        let spec = ExchangeSpec { attempt, stream: stream.clone(), to, deadline, stall, max_body };
         let outcome = call.clone().run(spec).await;
         assert!(stream.request_written());
         match stall {
@@ -71,8 +71,8 @@
 }
 
 fn spec(stream: &Stream, to: SocketAddr, stall: Option<Duration>) -> ExchangeSpec {
-    let (attempt, left) = (AttemptNo(0), Duration::from_secs(20));
-    ExchangeSpec { attempt, stream: stream.clone(), to, left, stall, max_body: 64 }
+    let (attempt, deadline) = (AttemptNo(0), Instant::now() + Duration::from_secs(20));
+    ExchangeSpec { attempt, stream: stream.clone(), to, deadline, stall, max_body: 64 }
 }
 
 const WHOLE: &[u8] = b"HTTP/1.1 200 X\r\nContent-Length: 4\r\n\r\ncash";
@@ -221,3 +221,25 @@
         drop(backend.join().unwrap());
     }
 }
+
+/// The event loop may be late between the decision to send and the write: the backend is told what is left by then.
+#[tokio::test]
+async fn time_told_is_what_is_left_as_the_request_is_written() {
+    let (stream, to, mut peer) = connected().await;
+    let run = call("cash").run(spec(&stream, to, None)); // of 20 s
+    std::thread::sleep(Duration::from_millis(300));
+    let served = std::thread::spawn(move || {
+        let mut head = Vec::new();
+        while !head.ends_with(b"\r\n\r\ncash") {
+            let mut byte = [0];
+            peer.read_exact(&mut byte).unwrap();
+            head.push(byte[0]);
+        }
+        peer.write_all(WHOLE).unwrap();
+        String::from_utf8(head).unwrap()
+    });
+    assert!(matches!(run.await, ExchangeOutcome::Answered { verdict: Verdict::Served, .. }));
+    let head = served.join().unwrap().to_ascii_lowercase();
+    let told = head.split("x-time-left: ").nth(1).and_then(|rest| rest.split('\r').next()).unwrap();
+    assert!(told.parse::<f64>().unwrap() <= 19.7, "{told}");
+}
--- a/crates/net/src/exchange.rs
+++ b/crates/net/src/exchange.rs
@@ -8,7 +8,7 @@
 use std::net::SocketAddr;
 use std::pin::Pin;
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// One attempt to be carried out.
 pub struct ExchangeSpec {
@@ -18,8 +18,8 @@
     pub stream: Stream,
     /// The backend's address.
     pub to: SocketAddr,
-    /// How long the response is waited for.
-    pub left: Duration,
+    /// Until when the response is awaited; the front tells the backend what is left of it as it writes the request.
+    pub deadline: Instant,
     /// A response that is not complete this long after its first byte is invalid.
     pub stall: Option<Duration>,
     /// The longest valid body, in bytes.
--- a/crates/net/src/host.rs
+++ b/crates/net/src/host.rs
@@ -509,7 +509,7 @@
             }
         }
         loop {
-            let (now, mut actions) = {
+            let mut actions = {
                 let mut s = self.state.borrow_mut();
                 let s = &mut *s;
                 let Some(event) = s.events.pop_front() else {
@@ -535,14 +535,14 @@
                         check.note(done);
                     }
                 }
-                (now, actions)
+                actions
             };
-            actions.drain(..).for_each(|action| self.carry_out(now, action));
+            actions.drain(..).for_each(|action| self.carry_out(action));
             self.state.borrow_mut().actions = actions;
         }
     }
 
-    fn carry_out(self: &Rc<Self>, now: Time, action: Action) {
+    fn carry_out(self: &Rc<Self>, action: Action) {
         match action {
             Action::Open { conn, backend } => self.open(conn, backend),
             Action::Send { conn, request, attempt, deadline, by } => {
@@ -550,7 +550,7 @@
                     let seen = self.seen(request, attempt);
                     self.note(shaletide_record::Event::Sent { request, attempt, seen });
                 }
-                self.send(conn, request, attempt, deadline - now, by);
+                self.send(conn, request, attempt, deadline, by);
             }
             Action::Close { conn } => {
                 let mut s = self.state.borrow_mut();
@@ -616,7 +616,8 @@
     }
 
     fn send(
-        self: &Rc<Self>, conn: ConnId, request: RequestId, attempt: AttemptNo, left: Micros, by: Option<Time>,
+        self: &Rc<Self>, conn: ConnId, request: RequestId, attempt: AttemptNo, deadline: Time,
+        by: Option<Time>,
     ) {
         let mut s = self.state.borrow_mut();
         let s = &mut *s;
@@ -635,8 +636,14 @@
         s.counts.sent += 1;
         let network = self.network.get();
         let (stall, max_body) = (network.answer_stall.map(span), network.max_body);
-        let exchange =
-            ExchangeSpec { attempt, stream: stream.clone(), to: line.to, left: span(left), stall, max_body };
+        let exchange = ExchangeSpec {
+            attempt,
+            stream: stream.clone(),
+            to: line.to,
+            deadline: self.clock.instant(deadline).into_std(),
+            stall,
+            max_body,
+        };
         stream.prepare_request(); // until the request says what it writes, nothing is written
         stream.set_write_deadline(by.map(|by| self.clock.instant(by).into_std()));
         stream.set_client(open.upstream_request.client().cloned());
