--- /dev/null
+++ b/crates/watch/src/tests.rs
@@ -0,0 +1,160 @@
+//! One call and the times it may take.
+
+use super::*;
+use shaletide_testkit::NeverUp;
+use std::io::{BufRead, BufReader, Write};
+
+const PATIENCE: Duration = Duration::from_secs(20);
+
+fn with_runtime<T>(work: impl Future<Output = T>) -> T {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
+    runtime.block_on(async { tokio::time::timeout(PATIENCE, work).await }).expect("an end")
+}
+
+#[test]
+fn a_connection_that_does_not_come_up_fails_its_call_whatever_that_waits_for() {
+    let nobody = NeverUp::new();
+    let uri = "/api/targets?after=1&wait_ms=60000";
+    let failed = with_runtime(fetch(&mut None, nobody.address(), uri, Duration::from_millis(50)));
+    assert!(matches!(failed, Err(WatchError::Connect(_))), "{failed:?}");
+}
+
+#[test]
+fn an_answer_that_ends_its_connection_fails_no_call_after_it() {
+    let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+    let at = listener.local_addr().unwrap();
+    let served = std::thread::spawn(move || {
+        for tcp in listener.incoming().take(5) {
+            let mut tcp = tcp.unwrap();
+            let lines = BufReader::new(tcp.try_clone().unwrap()).lines();
+            lines.map(Result::unwrap).take_while(|line| !line.is_empty()).for_each(drop);
+            let body = r#"{"index":7,"snapshot":true,"endpoints":[]}"#;
+            let head = format!("HTTP/1.1 200 X\r\nConnection: close\r\nContent-Length: {}", body.len());
+            tcp.write_all(format!("{head}\r\n\r\n{body}").as_bytes()).unwrap();
+        }
+    });
+    with_runtime(async {
+        let mut link = None;
+        for call in 0..5 {
+            let answer = fetch(&mut link, at, "/api/targets", PATIENCE).await;
+            assert_eq!(answer.map(|list| list.index).map_err(|e| e.to_string()), Ok(7), "call {call}");
+        }
+    });
+    served.join().unwrap();
+}
+
+/// Whatever form an answer has: it is read, and so is the next, on the same connection or another.
+#[test]
+fn answers_of_any_form_are_read_and_spoil_no_call_after_them() {
+    let list = r#"{"index":7,"snapshot":true,"endpoints":[]}"#.to_string();
+    let entry = |n| {
+        format!("\n    {{\n      \"name\": \"b{n}\",\n      \"address\": \"10.0.0.1:80\",\n      \"status\": \"SERVING\"\n    }}")
+    };
+    let long: Vec<String> = (0..30_000).map(entry).collect();
+    let long =
+        format!("{{\n  \"index\": 7,\n  \"snapshot\": true,\n  \"endpoints\": [{}]\n}}\n", long.join(","));
+    let plain = |body: &str| format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}", body.len());
+    let (a, b) = list.split_at(9);
+    let chunks = format!("9\r\n{a}\r\n{:x};x=y\r\n{b}\r\n0\r\nX-Sum: 1\r\n\r\n", b.len());
+    let whole = [
+        (plain(&list), false),
+        (plain(&long), false),
+        (format!("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n{chunks}"), false),
+        (
+            format!("HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nX: y\r\n\r\n{}", plain(&list)),
+            false,
+        ),
+        (format!("HTTP/1.0 200 OK\r\n\r\n{list}"), true),
+        (format!("HTTP/1.1 200 OK\r\n\r\n{list}"), true),
+        (plain(&list).replace("1.1", "1.0"), true),
+        (plain(&list) + "HTTP/1.1 200 OK\r\n", false),
+    ];
+    let cut = plain(&list);
+    let broken = [
+        cut[..cut.len() - 1].to_string(),
+        chunks[..20].to_string(),
+        format!("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n{}", &chunks[..chunks.len() - 2]),
+        format!("HTTP/1.0 200 OK\r\n\r\n{}", &list[..list.len() - 1]),
+        "HTTP/1.1 101 Switching Protocols\r\nConnection: upgrade\r\nUpgrade: x\r\n\r\n".to_string(),
+        "HTTP/1.1 204 No Content\r\n\r\n".to_string(),
+    ];
+    let whole = whole.into_iter().map(|(text, ends)| (text, ends, true));
+    let broken = broken.into_iter().map(|text| (text, true, false));
+    for (first, ends, sound) in whole.chain(broken) {
+        let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+        let at = listener.local_addr().unwrap();
+        let (answer, next) = (first.clone(), plain(&list));
+        let served = std::thread::spawn(move || {
+            let mut answers = [(answer, ends), (next, true)].into_iter();
+            for tcp in listener.incoming() {
+                let mut tcp = tcp.unwrap();
+                let mut lines = BufReader::new(tcp.try_clone().unwrap()).lines().map_while(Result::ok);
+                while lines.by_ref().take_while(|line| !line.is_empty()).count() > 0 {
+                    let Some((text, ends)) = answers.next() else { return };
+                    let _ = tcp.write_all(text.as_bytes());
+                    if ends {
+                        break;
+                    }
+                }
+                if answers.len() == 0 {
+                    return;
+                }
+            }
+        });
+        with_runtime(async {
+            let mut link = None;
+            let got = fetch(&mut link, at, "/api/targets", PATIENCE).await;
+            assert_eq!(got.is_ok(), sound, "{first:.200}: {:?}", got.map(|list| list.index));
+            link = link.filter(|_| sound); // as whoever follows does
+            let got = fetch(&mut link, at, "/api/targets", PATIENCE).await;
+            assert_eq!(got.map(|list| list.index).map_err(|e| e.to_string()), Ok(7), "{first:.200}");
+        });
+        served.join().unwrap();
+    }
+}
+
+#[test]
+fn an_agent_that_was_silent_is_heard_within_two_thirds_of_any_grace() {
+    for ms in [170, 200, 300, 500, 700, 1000, 1500, 2000, 3000, 60_000] {
+        let grace = Duration::from_millis(ms);
+        let pace = Pace::pushed(grace);
+        assert!(pace.wait[1] + pace.prompt + pace.pause <= grace * 2 / 3, "{ms}: {pace:?}");
+        assert!(pace.prompt + pace.pause * 8 <= grace * 2 / 3, "{ms}: {pace:?}");
+    }
+    let longest = Pace::pushed(Duration::from_secs(3600));
+    let least = Pace::pushed(Duration::ZERO);
+    let times = |p: Pace| [p.wait[1], p.prompt, p.pause].map(|t| t.as_millis());
+    assert_eq!((times(longest), times(least)), ([1000, 500, 50], [50, 40, 5]));
+}
+
+/// Found silent, asked for after 0.15 s at most, failed after half a second, asked for after 0.3 s.
+#[test]
+fn a_watch_that_fell_silent_is_open_again_before_what_it_missed_counts() {
+    for ms in [150, 300, 500, 1000, 2000, 10_000] {
+        let (grace, pace) = (Duration::from_millis(ms), Pace::asked(Duration::from_millis(ms)));
+        let again = pace.prompt + Duration::from_millis(150 + 500 + 300 + 500);
+        assert!(again <= Duration::from_secs(2) + grace, "{ms}: {pace:?}");
+    }
+}
+
+/// The watches of all proxies fall silent together. A service that needs 5 s for a call of each, however many they
+/// are, has answered each by the time at which what it missed counts.
+#[test]
+fn proxies_whose_watches_fell_silent_together_do_not_ask_together() {
+    let grace = Duration::from_millis(150);
+    let pace = Pace::asked(grace);
+    for proxies in [6u32, 20, 64, 300, 1000] {
+        for call in [0, 1, 7] {
+            let mut ends: Vec<Duration> = (0..proxies).map(|p| pace.wait(p, call)).collect();
+            ends.sort();
+            assert!(pace.wait[0] <= ends[0] && ends[ends.len() - 1] <= pace.wait[1]);
+            let (work, mut free) = (Duration::from_secs(5) / proxies, Duration::ZERO);
+            for end in ends {
+                let asked = end + pace.prompt + Duration::from_millis(150);
+                free = free.max(asked) + work;
+                let late = free - end;
+                assert!(late <= Duration::from_secs(2) + grace, "{proxies}, call {call}: {late:?}");
+            }
+        }
+    }
+}
