Wait for a discovery answer while its pieces arrive

Cause: the whole answer had to be there within the time that its head may take (25% of the drain grace, 500 ms at most, for an agent). A list of 1,024 backends that arrives in pieces over a longer time was given up, asked for again and given up again, so the proxy never had a list at all.

The time now bounds the connection, the head and the gap between two pieces; the transfer as a whole has 3 s. The unnamed numbers of the module have names.

A list of 1,024 entries in 16 KiB pieces 100 ms apart: Err("silent") with the old bound (head and body together), 1,024 entries with the new one.

--- a/crates/watch/src/lib.rs
+++ b/crates/watch/src/lib.rs
@@ -4,6 +4,7 @@
 
 use bytes::Bytes;
 use http_body_util::{BodyExt, Empty, Limited};
+use hyper::body::Incoming;
 use hyper::client::conn::http1;
 use hyper::Request;
 use shaletide_balancer::{Discovery, ListUpdate, PoolId};
@@ -25,7 +26,7 @@
 struct Pace {
     /// One call waits so long for news, from the shortest to the longest of all proxies.
     wait: [Duration; 2],
-    /// What an answer may take beyond that before discovery counts as silent.
+    /// What an answer's head may take beyond that before discovery counts as silent, and each further piece of it.
     prompt: Duration,
     /// And what one to a call that waits for nothing may take: as long as others' calls may be worked on before it, and
     /// longer once that was not enough.
@@ -62,7 +63,7 @@
     /// How long the so many-th call of a proxy waits. Multiples of the golden ratio lie evenly whatever their number:
     /// so do the ends of the calls of proxies that watch in step.
     fn wait(&self, position: u32, call: u32) -> Duration {
-        let part = (f64::from(position) + f64::from(call)) * 0.618_033_988_749_895;
+        let part = (f64::from(position) + f64::from(call)) * GOLDEN_RATIO;
         self.wait[0] + (self.wait[1] - self.wait[0]).mul_f64(part.fract())
     }
 
@@ -74,8 +75,15 @@
 
 /// After a move what the new discovery has counts as told so much later.
 const MOVED: Duration = Duration::from_secs(4);
-/// A list may be longer than a request's body, but not without bound.
+/// The longest body of an answer, in bytes: 4 KiB for each of 1,024 backends, ten times what an indented entry takes.
+/// A longer one is an answer that cannot be read, and the list stays as it is.
 const MAX_LIST: usize = 4 * 1024 * 1024;
+/// An answer whose head has come is whole after so long, however steadily its pieces come.
+const MAX_TRANSFER: Duration = Duration::from_secs(3);
+/// Its multiples, modulo 1, are spread evenly over the range from 0 to 1, however many they are.
+const GOLDEN_RATIO: f64 = 0.618_033_988_749_895;
+/// The pause after a failed call doubles so often at most.
+const MAX_DOUBLINGS: u32 = 3;
 
 /// What is known of a discovery.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -196,8 +204,8 @@
         waits = waits.wrapping_add(u32::from(waits_for_news));
         let patience = if waits_for_news { wait + own.prompt } else { own.patience(in_vain) };
         let asked_at = Instant::now();
-        let call = tokio::time::timeout(patience, fetch(&mut link, at, &uri, own.prompt));
-        let answer = call.await.unwrap_or(Err(WatchError::Silent)).and_then(|list| fit(list, whole));
+        let times = CallTimes { head: patience, piece: own.prompt };
+        let answer = fetch(&mut link, at, &uri, times).await.and_then(|list| fit(list, whole));
         in_vain = !waits_for_news && matches!(answer, Err(WatchError::Silent));
         match answer {
             Ok(list) => {
@@ -233,7 +241,7 @@
                     host.members(pool, ListUpdate::Lost, Vec::new());
                     host.followed(pool).await; // when to ask again is the module's to say
                 } else {
-                    tokio::time::sleep(own.pause * (1 << failures.min(4)) / 2).await;
+                    tokio::time::sleep(own.pause * (1 << (failures - 1).min(MAX_DOUBLINGS))).await;
                 }
                 // Whether it is back shows at once.
                 catches_up = true;
@@ -267,14 +275,25 @@
     host.members(pool, update, entries);
 }
 
-/// One call. A connection that does not come up within `prompt` fails it: until it is up no call waits anywhere.
+/// What one call may take.
+#[derive(Clone, Copy, Debug)]
+struct CallTimes {
+    /// From the call to the whole head of its answer.
+    head: Duration,
+    /// For a connection to come up, as until then no call waits anywhere; and between two pieces of an answer's body. A
+    /// long list on a busy machine takes longer than its head may: it is waited for while it comes.
+    piece: Duration,
+}
+
+/// One call.
 async fn fetch(
-    link: &mut Option<Link>, at: SocketAddr, uri: &str, prompt: Duration,
+    link: &mut Option<Link>, at: SocketAddr, uri: &str, times: CallTimes,
 ) -> Result<List, WatchError> {
+    let head_by = tokio::time::Instant::now() + times.head;
     let mut live = match kept(link).await {
         Some(live) => live,
         None => {
-            let connected = tokio::time::timeout(prompt, TcpStream::connect(at)).await;
+            let connected = tokio::time::timeout(times.piece, TcpStream::connect(at)).await;
             let late = |_| std::io::Error::from(std::io::ErrorKind::TimedOut);
             let tcp = connected.map_err(late).and_then(|tcp| tcp).map_err(WatchError::Connect)?;
             let (sender, conn) = http1::handshake(Stream::new(tcp)).await.map_err(boxed)?;
@@ -283,12 +302,15 @@
     };
     let request = Request::get(uri).header("host", at.to_string()).body(Empty::new()).map_err(boxed)?;
     let Link { sender, conn } = &mut live;
-    let answer = async {
+    let head = async {
         sender.ready().await.map_err(boxed)?;
-        let answer = sender.send_request(request).await.map_err(boxed)?;
+        sender.send_request(request).await.map_err(boxed)
+    };
+    let answer = async {
+        let answer = tokio::time::timeout_at(head_by, head).await.map_err(silent)??;
         let status = answer.status().as_u16();
-        let body = Limited::new(answer.into_body(), MAX_LIST).collect().await.map_err(WatchError::Http)?;
-        Ok((status, body.to_bytes()))
+        let body = tokio::time::timeout(MAX_TRANSFER, collected(answer.into_body(), times.piece));
+        Ok((status, body.await.map_err(silent)??))
     };
     let (status, body) = driven(conn, answer).await.unwrap_or(Err(WatchError::Ended))?;
     *link = Some(live);
@@ -298,6 +320,17 @@
     List::read(&body).map_err(WatchError::Json)
 }
 
+/// The whole body, no two pieces of which may lie further apart.
+async fn collected(body: Incoming, apart: Duration) -> Result<Vec<u8>, WatchError> {
+    let mut body = Limited::new(body, MAX_LIST);
+    let mut bytes = Vec::new();
+    while let Some(frame) = tokio::time::timeout(apart, body.frame()).await.map_err(silent)? {
+        let frame = frame.map_err(WatchError::Http)?;
+        bytes.extend_from_slice(frame.data_ref().map_or(&[], |piece| piece));
+    }
+    Ok(bytes)
+}
+
 /// The connection of the call before, unless it has ended: an answer may end it, and that shows when it is driven.
 async fn kept(link: &mut Option<Link>) -> Option<Link> {
     let mut live = link.take()?;
@@ -305,6 +338,10 @@
     (!over && !live.sender.is_closed()).then_some(live)
 }
 
+fn silent(_: tokio::time::error::Elapsed) -> WatchError {
+    WatchError::Silent
+}
+
 fn boxed(e: impl Into<BoxError>) -> WatchError {
     WatchError::Http(e.into())
 }
--- a/crates/watch/src/tests.rs
+++ b/crates/watch/src/tests.rs
@@ -11,11 +11,15 @@
     runtime.block_on(async { tokio::time::timeout(PATIENCE, work).await }).expect("an end")
 }
 
+fn times(piece: Duration) -> CallTimes {
+    CallTimes { head: PATIENCE, piece }
+}
+
 #[test]
 fn a_connection_that_does_not_come_up_fails_its_call_whatever_that_waits_for() {
     let nobody = NeverUp::new();
     let uri = "/api/targets?after=1&wait_ms=60000";
-    let failed = with_runtime(fetch(&mut None, nobody.address(), uri, Duration::from_millis(50)));
+    let failed = with_runtime(fetch(&mut None, nobody.address(), uri, times(Duration::from_millis(50))));
     assert!(matches!(failed, Err(WatchError::Connect(_))), "{failed:?}");
 }
 
@@ -36,7 +40,7 @@
     with_runtime(async {
         let mut link = None;
         for call in 0..5 {
-            let answer = fetch(&mut link, at, "/api/targets", PATIENCE).await;
+            let answer = fetch(&mut link, at, "/api/targets", times(PATIENCE)).await;
             assert_eq!(answer.map(|list| list.index).map_err(|e| e.to_string()), Ok(7), "call {call}");
         }
     });
@@ -103,10 +107,10 @@
         });
         with_runtime(async {
             let mut link = None;
-            let got = fetch(&mut link, at, "/api/targets", PATIENCE).await;
+            let got = fetch(&mut link, at, "/api/targets", times(PATIENCE)).await;
             assert_eq!(got.is_ok(), sound, "{first:.200}: {:?}", got.map(|list| list.index));
             link = link.filter(|_| sound); // as whoever follows does
-            let got = fetch(&mut link, at, "/api/targets", PATIENCE).await;
+            let got = fetch(&mut link, at, "/api/targets", times(PATIENCE)).await;
             assert_eq!(got.map(|list| list.index).map_err(|e| e.to_string()), Ok(7), "{first:.200}");
         });
         served.join().unwrap();
@@ -158,3 +162,122 @@
         }
     }
 }
+
+/// An indented list of so many entries, of ordinary length.
+fn indented(index: u64, snapshot: bool, statuses: impl Iterator<Item = &'static str>) -> String {
+    let entry = |(n, status): (usize, &str)| {
+        format!(
+            "\n    {{\n      \"name\": \"backend-{n:04}\",\n      \"address\": \"10.0.{}.{}:8443\",\n      \
+             \"zone\": \"east\",\n      \"type\": \"big\",\n      \"group\": {},\n      \"cores\": 2,\n      \
+             \"weight\": 1.0,\n      \"status\": \"{status}\",\n      \"since_ms\": 0\n    }}",
+            n >> 8,
+            n & 255,
+            n / 4
+        )
+    };
+    let entries: Vec<String> = statuses.enumerate().map(entry).collect();
+    format!(
+        "{{\n  \"index\": {index},\n  \"snapshot\": {snapshot},\n  \"endpoints\": [{}\n  ]\n}}\n",
+        entries.join(",")
+    )
+}
+
+const MANY_BACKENDS: usize = 1_024;
+
+/// A discovery that gives these answers in turn on one connection, each in pieces of so many bytes with a pause behind
+/// each.
+fn in_pieces(answers: Vec<String>, size: usize, pause: Duration) -> SocketAddr {
+    let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+    let at = listener.local_addr().unwrap();
+    std::thread::spawn(move || {
+        let mut tcp = listener.accept().unwrap().0;
+        let mut lines = BufReader::new(tcp.try_clone().unwrap()).lines().map_while(Result::ok);
+        for body in answers {
+            if lines.by_ref().take_while(|line| !line.is_empty()).count() == 0 {
+                return;
+            }
+            let head = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n", body.len());
+            for piece in (head + &body).as_bytes().chunks(size) {
+                if tcp.write_all(piece).is_err() {
+                    return;
+                }
+                std::thread::sleep(pause);
+            }
+        }
+    });
+    at
+}
+
+#[test]
+fn indented_lists_of_1024_backends_are_read_whole_and_as_changes() {
+    let whole = indented(7, true, std::iter::repeat_n("SERVING", MANY_BACKENDS));
+    let changes = indented(8, false, ["DRAINING", "DELETED"].into_iter().cycle().take(MANY_BACKENDS));
+    assert!(whole.len() > 200_000, "{}", whole.len());
+    let at = in_pieces(vec![whole, changes], usize::MAX, Duration::ZERO);
+    with_runtime(async {
+        let (mut link, begun) = (None, Instant::now());
+        let list = fetch(&mut link, at, "/api/targets", times(PATIENCE)).await.unwrap();
+        let (entries, skipped) = list.entries();
+        assert_eq!((list.index, list.snapshot, entries.len(), skipped), (7, true, MANY_BACKENDS, None));
+        let list = fetch(&mut link, at, "/api/targets?after=7", times(PATIENCE)).await.unwrap();
+        let (entries, skipped) = list.entries();
+        assert_eq!((list.index, list.snapshot, entries.len(), skipped), (8, false, MANY_BACKENDS, None));
+        let serving = shaletide_balancer::BackendState::Ready;
+        assert!(entries.iter().all(|entry| entry.state != serving));
+        println!("two lists of {MANY_BACKENDS} read in {:?}", begun.elapsed());
+    });
+}
+
+/// A discovery of 1,024 backends on a loaded machine writes its list in pieces, and all of them together take longer
+/// than it may take to begin. It is not silent.
+#[test]
+fn a_long_list_that_comes_in_pieces_is_waited_for_while_it_comes() {
+    let pace = Pace::pushed(Duration::from_secs(2));
+    let (size, pause) = (16 << 10, pace.prompt / 5);
+    let whole = indented(7, true, std::iter::repeat_n("SERVING", MANY_BACKENDS));
+    let pieces = whole.len().div_ceil(size) as u32;
+    assert!(pause * pieces > pace.prompt * 2, "{pieces} pieces");
+    let at = in_pieces(vec![whole], size, pause);
+    with_runtime(async {
+        let times = CallTimes { head: pace.patience(false), piece: pace.prompt };
+        let list = fetch(&mut None, at, "/api/targets", times).await;
+        assert_eq!(list.map(|list| list.endpoints.len()).map_err(|e| e.to_string()), Ok(MANY_BACKENDS));
+    });
+}
+
+#[test]
+fn a_list_that_stops_midway_is_given_up_as_soon_as_one_that_does_not_begin() {
+    let pace = Pace::pushed(Duration::from_secs(2));
+    let whole = indented(7, true, std::iter::repeat_n("SERVING", MANY_BACKENDS));
+    let at = in_pieces(vec![whole], 16 << 10, PATIENCE);
+    with_runtime(async {
+        let times = CallTimes { head: pace.patience(false), piece: pace.prompt };
+        let begun = Instant::now();
+        let list = fetch(&mut None, at, "/api/targets", times).await;
+        assert!(matches!(list, Err(WatchError::Silent)));
+        assert!(begun.elapsed() < MAX_TRANSFER, "{:?}", begun.elapsed());
+    });
+}
+
+/// Whoever sends a byte now and then for ever holds no call for ever.
+#[test]
+fn a_list_that_never_ends_is_given_up_after_the_longest_transfer() {
+    let at = in_pieces(vec!["[".repeat(1 << 20)], 1, Duration::from_millis(20));
+    with_runtime(async {
+        let begun = Instant::now();
+        let list = fetch(&mut None, at, "/api/targets", times(Duration::from_millis(500))).await;
+        assert!(matches!(list, Err(WatchError::Silent)));
+        assert!(begun.elapsed() >= MAX_TRANSFER, "{:?}", begun.elapsed());
+    });
+}
+
+#[test]
+fn a_list_longer_than_the_bound_fails_its_call_and_one_of_the_bound_does_not() {
+    let list = r#"{"index":7,"snapshot":true,"endpoints":[]}"#;
+    for (over, sound) in [(0, true), (1, false)] {
+        let padded = format!("{list}{}", " ".repeat(MAX_LIST + over - list.len()));
+        let at = in_pieces(vec![padded], usize::MAX, Duration::ZERO);
+        let got = with_runtime(fetch(&mut None, at, "/api/targets", times(PATIENCE)));
+        assert_eq!(got.is_ok(), sound, "{over}");
+    }
+}
