Raise the operators' file's bound on proxies to 100,000 and name its other bounds

Cause: `proxy.proxies` was held to 1,000 and `proxy.position` to 999: a file for 1,024 proxies was refused. The number is a divisor and nothing is kept for each proxy, so the bound only catches a slip of the pen.

The test with proxies = 1024 fails without the change (out of range).

--- a/crates/config/src/desk.rs
+++ b/crates/config/src/desk.rs
@@ -139,9 +139,12 @@
     }
 }
 
+/// Characters of a text from the file that a message quotes.
+const QUOTED: usize = 60;
+
 /// A text from the file as messages quote it.
 pub(crate) fn quoted(text: &str) -> String {
-    let mut shown: String = text.chars().take(60).collect();
+    let mut shown: String = text.chars().take(QUOTED).collect();
     if shown.len() < text.len() {
         shown.push('…');
     }
--- a/crates/config/src/operator/basics.rs
+++ b/crates/config/src/operator/basics.rs
@@ -9,6 +9,9 @@
 use std::net::SocketAddr;
 use std::ops::Range;
 
+/// Addresses to listen on that a file may name: each takes a descriptor.
+const MAX_LISTENERS: usize = 64;
+
 pub(super) fn proxy(desk: &mut Desk<'_>, section: &Section<'_, '_>) -> ProxyDef {
     let (proxies, position) = (section.count(desk, "proxies"), section.count(desk, "position"));
     if let (Some(all), Some(mine), Some(at)) =
@@ -37,7 +40,7 @@
 
 /// The listeners, with the place of each.
 pub(super) fn listeners(desk: &mut Desk<'_>, file: &File<'_, '_>) -> Vec<(SocketAddr, Range<usize>)> {
-    let (sections, _) = file.list(desk, "listener", 64);
+    let (sections, _) = file.list(desk, "listener", MAX_LISTENERS);
     let mut found: Vec<(SocketAddr, Range<usize>)> = Vec::new();
     for section in sections {
         let field = section.read(desk, "address", values::address);
--- a/crates/config/src/operator/classes.rs
+++ b/crates/config/src/operator/classes.rs
@@ -9,6 +9,11 @@
 use crate::values;
 use shaletide_balancer::{Class, Effect, KeyScope, Micros, Tenant};
 
+/// Classes that a file may name: each has state of its own at every backend.
+const MAX_CLASSES: usize = 64;
+/// Tenants that a file may name: each has a token bucket.
+const MAX_TENANTS: usize = 10_000;
+
 /// The classes as the daemon and as the decision module want them, and their names.
 pub(super) struct Classes {
     pub defs: Vec<ClassDef>,
@@ -17,7 +22,7 @@
 }
 
 pub(super) fn classes(desk: &mut Desk<'_>, file: &File<'_, '_>, record: &Record) -> Classes {
-    let (sections, all) = file.list(desk, "class", 64);
+    let (sections, all) = file.list(desk, "class", MAX_CLASSES);
     let names = Index::read(desk, "class", &sections, all);
     let (mut defs, mut rules) = (Vec::new(), Vec::new());
     for (section, name) in sections.iter().zip(names.in_order()) {
@@ -105,7 +110,7 @@
 
 /// The tenants and their names.
 pub(super) fn tenants(desk: &mut Desk<'_>, file: &File<'_, '_>) -> (Vec<Tenant>, Index) {
-    let (sections, all) = file.list(desk, "tenant", 10_000);
+    let (sections, all) = file.list(desk, "tenant", MAX_TENANTS);
     let names = Index::read(desk, "tenant", &sections, all);
     let tenants = sections.iter().map(|s| Tenant { quota_per_s: s.number(desk, "quota").or(0.0) }).collect();
     (tenants, names)
--- a/crates/config/src/operator/request.rs
+++ b/crates/config/src/operator/request.rs
@@ -3,7 +3,7 @@
 use super::names::Index;
 use crate::desk::Desk;
 use crate::report::Finding;
-use crate::schema::{PLACE, PROOF};
+use crate::schema::{Kind, MAX_PATH_PART, PLACE, PROOF};
 use crate::section::Section;
 use crate::values;
 use shaletide_balancer::ClassId;
@@ -63,7 +63,7 @@
     let get = |key: &str| table.and_then(|t| t.get(key)).map(|v| v.get_ref());
     match (get("path"), get("header")) {
         (Some(part), None) => {
-            values::count(&crate::schema::Kind::Count(1, 64), part).map(|n| Source::Path(n as usize))
+            values::count(&Kind::Count(1, MAX_PATH_PART), part).map(|n| Source::Path(n as usize))
         }
         (None, Some(name)) => values::header(&crate::schema::Kind::Header, name).map(Source::Header),
         _ => Err("no place".into()),
--- a/crates/config/src/platform.rs
+++ b/crates/config/src/platform.rs
@@ -283,6 +283,13 @@
 /// has for it then.
 const DRAIN_GRACE: Micros = Micros(2_000_000);
 
+/// A body that comes more slowly than so many bytes a second is not waited for.
+const BODY_RATE: usize = 1 << 10;
+/// Bytes that the bodies of all requests may hold together: a quarter of a process's 32 MB.
+const HELD_BODIES: usize = 8 << 20;
+/// The longest body of a request or an answer, in bytes.
+const MAX_BODY: usize = 64 << 10;
+
 /// What NODE_CONFIG says beside the settings, for [`operator`].
 #[derive(Clone, Debug, PartialEq)]
 pub struct Node {
@@ -340,10 +347,10 @@
             answer_stall: Some(PLATFORM_STALL),
             head_timeout: HEAD_TIMEOUT,
             body_timeout: BODY_TIMEOUT,
-            body_rate: 1 << 10,
+            body_rate: BODY_RATE,
             body_grace: BODY_GRACE,
-            held_bodies: 8 << 20,
-            max_body: 64 << 10,
+            held_bodies: HELD_BODIES,
+            max_body: MAX_BODY,
             drain_grace,
         },
         classes,
--- a/crates/config/src/schema/mod.rs
+++ b/crates/config/src/schema/mod.rs
@@ -7,6 +7,7 @@
 mod traffic;
 
 pub use page::page;
+pub(crate) use tables::MAX_PATH_PART;
 pub use tables::{ANSWERS, BOX, HEADER, PLACE, PROOF, SECTIONS};
 
 /// A table of the file.
--- a/crates/config/src/schema/tables.rs
+++ b/crates/config/src/schema/tables.rs
@@ -12,6 +12,9 @@
 const KIB: u64 = 1 << 10;
 const MIB: u64 = 1 << 20;
 const GIB: u64 = 1 << 30;
+/// Proxies that may share the work. Nothing is kept for each, as the number is a divisor only: the bound catches a slip
+/// of the pen.
+const MAX_PROXIES: u64 = 100_000;
 
 pub(super) const fn key(
     name: &'static str, kind: Kind, default: Default, when: When, platform: Platform, meaning: &'static str,
@@ -90,7 +93,7 @@
     key("zone", Kind::NameOrEmpty, Is("\"\""), Restart, Says("settings.my_zone"), "Its own zone."),
     key(
         "proxies",
-        Kind::Count(1, 1000),
+        Kind::Count(1, MAX_PROXIES),
         Is("1"),
         Restart,
         Says("settings.group_size"),
@@ -98,7 +101,7 @@
     ),
     key(
         "position",
-        Kind::Count(0, 999),
+        Kind::Count(0, MAX_PROXIES - 1),
         Is("0"),
         Restart,
         Says("settings.position"),
@@ -431,10 +434,13 @@
     ),
 ];
 
+/// Parts of a path among which a class, a tenant or a key may stand.
+pub(crate) const MAX_PATH_PART: u64 = 64;
+
 const PLACE_KEYS: &[Key] = &[
     key(
         "path",
-        Kind::Count(1, 64),
+        Kind::Count(1, MAX_PATH_PART),
         Else("`header` must be given"),
         Reload,
         Adds,
--- a/crates/config/src/values.rs
+++ b/crates/config/src/values.rs
@@ -102,17 +102,30 @@
     fits.map_or_else(|| out_of_range(text), Ok)
 }
 
+/// The longest name, in bytes.
+const MAX_NAME: usize = 64;
+/// Hex digits of a 64-bit number.
+const MAX_HEX: usize = 16;
+/// The longest name of a header, in bytes.
+const MAX_HEADER_NAME: usize = 128;
+/// The longest value of a header that a route asks for, in bytes.
+const MAX_HEADER_VALUE: usize = 1_024;
+/// The longest method, in bytes.
+const MAX_METHOD: usize = 32;
+/// The longest beginning of a path that a route asks for, in bytes.
+const MAX_PATH: usize = 1_024;
+
 /// Whether a text is a name.
 fn is_name(text: &str) -> bool {
     let plain = |b: u8| b.is_ascii_alphanumeric() || matches!(b, b'-' | b'_' | b'.');
-    (1..=64).contains(&text.len()) && text.bytes().all(plain)
+    (1..=MAX_NAME).contains(&text.len()) && text.bytes().all(plain)
 }
 
 fn named(text: &str) -> Found<String> {
     match text {
         "" => Err("a name may not be empty".into()),
         text if is_name(text) => Ok(text.into()),
-        text if text.chars().count() > 64 => Err(format!("the name {} is too long", quoted(text))),
+        text if text.chars().count() > MAX_NAME => Err(format!("the name {} is too long", quoted(text))),
         text => Err(format!("{} is no name", quoted(text))),
     }
 }
@@ -155,7 +168,7 @@
 
 pub(crate) fn hex(_: &Kind, value: &DeValue<'_>) -> Found<u64> {
     let text = text(value)?;
-    let plain = (1..=16).contains(&text.len()) && text.bytes().all(|b| b.is_ascii_hexdigit());
+    let plain = (1..=MAX_HEX).contains(&text.len()) && text.bytes().all(|b| b.is_ascii_hexdigit());
     let number = plain.then(|| u64::from_str_radix(text, 16).ok()).flatten();
     number.ok_or_else(|| format!("{} is no such number", quoted(text)))
 }
@@ -168,7 +181,7 @@
 /// A header's name, in lower case.
 pub(crate) fn header(_: &Kind, value: &DeValue<'_>) -> Found<String> {
     let text = text(value)?;
-    match is_token(text) && text.len() <= 128 {
+    match is_token(text) && text.len() <= MAX_HEADER_NAME {
         true => Ok(text.to_ascii_lowercase()),
         false => Err(format!("{} is no header's name", quoted(text))),
     }
@@ -177,7 +190,7 @@
 pub(crate) fn header_value(_: &Kind, value: &DeValue<'_>) -> Found<String> {
     let text = text(value)?;
     let plain = text.bytes().all(|b| (b' '..=b'~').contains(&b)) && text.trim() == text && !text.is_empty();
-    match plain && text.len() <= 1024 {
+    match plain && text.len() <= MAX_HEADER_VALUE {
         true => Ok(text.into()),
         false => Err(format!("{} is no header's value", quoted(text))),
     }
@@ -185,7 +198,7 @@
 
 pub(crate) fn method(_: &Kind, value: &DeValue<'_>) -> Found<String> {
     let text = text(value)?;
-    match is_token(text) && text.len() <= 32 && !text.bytes().any(|b| b.is_ascii_lowercase()) {
+    match is_token(text) && text.len() <= MAX_METHOD && !text.bytes().any(|b| b.is_ascii_lowercase()) {
         true => Ok(text.into()),
         false => Err(format!("{} is no method", quoted(text))),
     }
@@ -194,7 +207,7 @@
 pub(crate) fn path(_: &Kind, value: &DeValue<'_>) -> Found<String> {
     let text = text(value)?;
     let plain = text.bytes().all(|b| (b'!'..=b'~').contains(&b) && b != b'?' && b != b'#');
-    match text.starts_with('/') && plain && !text.contains("//") && text.len() <= 1024 {
+    match text.starts_with('/') && plain && !text.contains("//") && text.len() <= MAX_PATH {
         true => Ok(text.into()),
         false => Err(format!("{} is no beginning of a path", quoted(text))),
     }
--- a/crates/config/tests/bounds.rs
+++ b/crates/config/tests/bounds.rs
@@ -2,9 +2,10 @@
 //! large one takes.
 
 use proptest::prelude::*;
+use serde_json::json;
 use shaletide_balancer::Micros;
-use shaletide_config::operator::{read, read_additions, read_bytes, PlatformNames, MAX_FILE};
-use shaletide_config::Report;
+use shaletide_config::operator::{read, read_additions, read_bytes, PlatformNames, Source, MAX_FILE};
+use shaletide_config::{platform, Report};
 use std::time::{Duration, Instant};
 
 /// A build without optimisation takes ten times as long.
@@ -122,6 +123,49 @@
     assert!(read("f.toml", &fits).is_ok());
 }
 
+#[test]
+fn a_file_of_1024_proxies_and_1024_backends_is_read() {
+    for position in [0, 349, 1_023] {
+        let proxy = format!("[proxy]\nproxies = 1024\nposition = {position}\n");
+        let operator = read("f.toml", &(proxy + &head() + &pool("p", 0..1_024))).unwrap();
+        assert_eq!((operator.proxy.proxies, operator.proxy.position), (1_024, position));
+        let Source::Static(backends) = &operator.pools[0].source else { panic!("a pool of the file") };
+        assert_eq!(backends.len(), 1_024);
+        assert_eq!(operator.config.validate(), Ok(()));
+    }
+}
+
+/// The platform names no proxies and backends in its settings; that another release might does no harm.
+#[test]
+fn settings_of_350_proxies_and_1024_names_of_each_list_are_read() {
+    let names = |what: &str| (0..1_024).map(|n| format!("{what}{n}")).collect::<Vec<_>>();
+    let profiles: Vec<_> = names("class")
+        .into_iter()
+        .map(|name| {
+            json!({"name": name, "aim_us": 1_000, "deadline_us": 2_000, "effect": "free", "gain": 1.0,
+                "late_worth": 0.5})
+        })
+        .collect();
+    let customers: Vec<_> =
+        names("tenant").into_iter().map(|name| json!({"name": name, "quota_rps": 5})).collect();
+    let settings = json!({
+        "blend": {"whole": 0.6, "worst_class": 0.2}, "costs": {"cross_zone": 0.0}, "customers": customers,
+        "discovery": "automatic", "position": 349, "group_size": 350, "granularity_us": 5_000,
+        "kinds": names("kind"), "zones": names("zone"), "my_zone": "zone1023", "peers": names("n"),
+        "limits": {"cancel": true, "max_attempts": 3, "parallel_tries": true, "dial_timeout_us": 300_000,
+            "conn_idle_us": 60_000_000, "max_retry_after_us": 2_000_000},
+        "over_share_worth": 0.1, "profiles": profiles,
+        "rules": {"cold_from": 0.3, "fall_multiple": 2.5, "must_ask_in_us": 9_000_000,
+            "ramp_time_us": 9_000_000, "tip_after_us": 2_000_000}
+    });
+    let started = Instant::now();
+    let (config, names) = platform::read(&settings).unwrap();
+    assert_eq!((config.proxies, config.position, config.validate()), (350, 349, Ok(())));
+    let counts = [names.zones(), names.kinds(), names.classes(), names.tenants()].map(<[String]>::len);
+    assert_eq!((counts, config.zone.0), ([1_024; 4], 1_023));
+    assert!(started.elapsed() < Duration::from_secs(5), "{:?}", started.elapsed());
+}
+
 #[test]
 fn many_tenants_in_many_routes_are_compared_within_bounds() {
     let tenants: String = (0..10_000).map(|n| format!("[[tenant]]\nname = \"t{n}\"\nquota = 1\n")).collect();
--- a/crates/routing/src/pools.rs
+++ b/crates/routing/src/pools.rs
@@ -17,6 +17,9 @@
 /// Pools that there may ever be in the life of a program.
 pub const MOST_POOLS: u32 = 1 << (64 - TOKENS);
 
+/// Pools of a route that a request may be handed on to: the bits of [`Owed::asked`]. A file has as many pools at most.
+const MAX_ROUTE_POOLS: usize = u64::BITS as usize;
+
 /// What the shell tells.
 #[derive(Clone, Debug)]
 pub enum Event {
@@ -289,7 +292,7 @@
     /// The pool to ask next, and whether another can be asked after it: the first of the route that can take
     /// something and has not been asked. Where none can, the first that at least has backends, for good.
     fn next(&self, now: Time, owed: &mut Owed) -> Option<(PoolId, bool)> {
-        let places = || owed.route.iter().enumerate().take(64);
+        let places = || owed.route.iter().enumerate().take(MAX_ROUTE_POOLS);
         let open = |pool: &PoolId| self.standing(now, *pool);
         let fresh = places().filter(|(at, _)| owed.asked & (1 << at) == 0);
         let able = fresh.filter(|(_, pool)| open(pool) == Some(Standing::Able)).map(|(at, pool)| (at, *pool));
