Keep descriptors for discovery, reload and backends out of clients' reach in every configuration

The reserve was 64 whatever was configured. It held for the platform (40 for clients over their slots, 11 in use, the rest spare) but not where

- the system grants fewer descriptors than the configuration says: 400 idle clients at 1,024 said and 256 granted held 243 connections, accept failed with EMFILE, and calls to discovery competed with clients for each one;
- an operators' file has more listeners, pools with discovery, a control socket or a store of record, each of which takes descriptors of its own.

The division is a module of its own now (descriptors.rs): the smaller of what is said and granted, less a reserve counted from the configuration. Pools that a reload adds take theirs from the connections to backends. The platform's division is as before (256: 96 and 96; 1,024: 480 and 480).

--- a/crates/shaletide/src/daemon.rs
+++ b/crates/shaletide/src/daemon.rs
@@ -1,6 +1,7 @@
 //! The daemon: start-up and shutdown in their order, signals, and a new configuration put in the old one's place.
 
 use crate::commands;
+use crate::descriptors::{self, Descriptors};
 use crate::reload::{Again, Reader};
 use crate::setup::{RecordSetup, Setup};
 use shaletide_balancer::{ConfigError, ListUpdate, PoolId};
@@ -8,7 +9,7 @@
 use shaletide_control::{Control, ControlError};
 use shaletide_http::{listen, Rules, Server};
 use shaletide_keeper::{Keeper, Run, StoreError};
-use shaletide_net::{span, Clock, Host, Network};
+use shaletide_net::{span, Clock, Host};
 use shaletide_watch::{Place, Terms};
 use std::cell::Cell;
 use std::collections::HashMap;
@@ -23,8 +24,6 @@
 use tokio::task::AbortHandle;
 use tracing::info;
 
-/// Descriptors that are kept for all but clients and upstreams.
-const RESERVE: usize = 64;
 /// SIGKILL may come so long after the longest deadline, counted from SIGTERM, less what a loaded core takes for the last
 /// steps: the store has until then for its last writes, and requests until 0.1 s before.
 const ENDED: Duration = Duration::from_millis(600);
@@ -113,7 +112,7 @@
 pub struct Daemon {
     setup: Arc<Setup>,
     seed: u64,
-    network: Network,
+    descriptors: Descriptors,
     keeper: Option<Rc<Keeper>>,
     host: Rc<Host>,
     server: Rc<Server>,
@@ -131,8 +130,8 @@
         let operator = &setup.operator;
         let seed =
             operator.proxy.seed.unwrap_or_else(|| std::hash::RandomState::new().build_hasher().finish());
-        let room = operator.limits.descriptors.saturating_sub(RESERVE).max(2);
-        let network = setup.network(room / 2);
+        let descriptors = Descriptors::new(descriptors::limit(operator.limits.descriptors), &setup);
+        let network = setup.network(descriptors.upstreams);
         let host = Host::new(Clock::new(), network);
         if self_check {
             host.self_check(operator.limits.drain_grace);
@@ -161,12 +160,12 @@
             tokio::task::spawn_local(control.serve(handler));
         }
         let rules = Rules::new(setup.rules(&ids));
-        let server = Server::new(host.clone(), rules, room - room / 2, seed);
+        let server = Server::new(host.clone(), rules, descriptors.clients, seed);
         tokio::task::spawn_local(host.clone().timers());
         tokio::task::spawn_local(host.clone().sweep());
         let followers = HashMap::new();
         let setup = Arc::new(setup);
-        let mut daemon = Daemon { setup, seed, network, keeper, host, server, listeners, followers };
+        let mut daemon = Daemon { setup, seed, descriptors, keeper, host, server, listeners, followers };
         daemon.follow(&ids, begun);
         Ok(daemon)
     }
@@ -241,14 +240,15 @@
             format!("nothing changes, as this needs a restart:\n  {}", changes.join("\n  "))
         })?;
         let zone = &next.operator.proxy.zone;
-        let network = next.network(self.network.most);
+        let descriptors = self.descriptors.reconfigured(&next);
+        let network = next.network(descriptors.upstreams);
         let ids = self.host.setup(None, zone, self.seed, network, next.pools());
         let ids = ids.map_err(|e| format!("{e}"))?; // the reader has checked all of it before
         self.server.reload(Rules::new(next.rules(&ids)));
         if let (Some(keeper), Some(record)) = (&self.keeper, &next.record) {
             keeper.configure(record.config.clone(), record.digest.clone());
         }
-        self.setup = Arc::new(next);
+        (self.setup, self.descriptors) = (Arc::new(next), descriptors);
         self.follow(&ids, asked);
         let routes = self.setup.operator.routes.len();
         info!("SIGHUP: taken, pools {}, {routes} routes", self.setup.pool_names());
--- a/crates/shaletide/src/main.rs
+++ b/crates/shaletide/src/main.rs
@@ -5,6 +5,7 @@
 mod commands;
 mod daemon;
 mod demo;
+mod descriptors;
 mod explain;
 mod explore;
 mod files;
--- a/crates/shaletide/src/node.rs
+++ b/crates/shaletide/src/node.rs
@@ -67,6 +67,9 @@
 /// File descriptors that the process may hold, where nothing usable is said of them: what the platform grants.
 const SOCKETS: usize = 1024;
 
+/// Fewer than these are taken for these: a process with its reserve, one client and one connection to a backend.
+const LEAST_SOCKETS: usize = 64;
+
 /// The part of the file that may change while the program runs.
 #[derive(Deserialize)]
 struct Changeable {
@@ -107,7 +110,7 @@
         discovery: file.discovery,
         seed: seed
             .ok_or_else(|| NodeError::Settings("seed: expected a number or up to 16 hex digits".into()))?,
-        sockets: sockets(&file.limits).max(64),
+        sockets: sockets(&file.limits).max(LEAST_SOCKETS),
     };
     let (operator, names) = platform::operator(node, &file.settings).map_err(NodeError::Settings)?;
     let (zones, kinds) = (names.zones().to_vec(), names.kinds().to_vec());
