--- a/crates/emulate/src/main.rs
+++ b/crates/emulate/src/main.rs
@@ -7,6 +7,11 @@
 use std::process::ExitCode;
 use std::time::Instant;
 
+/// Proxies and backends of one run: each proxy has a module of its own that knows each backend, in the memory of one
+/// process.
+const MAX_PROXIES: i64 = 2_000;
+const MAX_BACKENDS: i64 = 2_000;
+
 /// A fleet on a virtual clock: what clients get of random choice, of the program without and with reports, and of one
 /// module that sees all. Status 1 where a rule broke.
 #[derive(Debug, Parser)]
@@ -16,10 +21,10 @@
     #[arg(long, default_value = "calm")]
     day: String,
     /// Proxies.
-    #[arg(long, default_value_t = 300, value_parser = clap::value_parser!(u32).range(1..=1000))]
+    #[arg(long, default_value_t = 300, value_parser = clap::value_parser!(u32).range(1..=MAX_PROXIES))]
     proxies: u32,
     /// Boxes.
-    #[arg(long, default_value_t = 190, value_parser = clap::value_parser!(u32).range(1..=2000))]
+    #[arg(long, default_value_t = 190, value_parser = clap::value_parser!(u32).range(1..=MAX_BACKENDS))]
     boxes: u32,
     /// The seed of all dice.
     #[arg(long, default_value_t = 1)]
--- a/crates/routing/tests/pools.rs
+++ b/crates/routing/tests/pools.rs
@@ -423,3 +423,20 @@
     world.end(id, 0, Outcome::Ok);
     assert_eq!(world.answer(id), Some("served"));
 }
+
+/// A request is handed on from one pool of 512 backends to another, whatever their number.
+#[test]
+fn two_pools_of_512_backends_are_one_route() {
+    let pool = |from: u32, realm| (from..from + 512).map(|id| backend(id, 1, realm)).collect::<Vec<_>>();
+    let mut world = World::new(config(), &[pool(0, 0), pool(512, 1)]);
+    let ask = |world: &mut World| {
+        let id = world.arrive(SAFE, SECOND, &[0, 1]);
+        world.end(id, 0, Outcome::Ok);
+        first(world, id)
+    };
+    let preferred: Vec<u32> = (0..50).map(|_| ask(&mut world)).collect();
+    assert!(preferred.iter().all(|id| *id < 512), "{preferred:?}");
+    (0..512).for_each(|id| world.set(0, id, BackendState::Draining));
+    let next: Vec<u32> = (0..50).map(|_| ask(&mut world)).collect();
+    assert!(next.iter().all(|id| *id >= 512), "{next:?}");
+}
