Write the log on a thread of its own behind a bounded queue

Cause: the event loop wrote its log lines to standard error itself. A list of 1,024 backends has a line for each at the start, more than a pipe holds: where nobody read the pipe, the program hung in write (wchan anon_pipe_write) before it listened, and any later line could stop it in the same way.

--- a/crates/shaletide/src/demo/mod.rs
+++ b/crates/shaletide/src/demo/mod.rs
@@ -27,7 +27,7 @@
 
 /// Runs it and says what came of it.
 pub fn run(asked: &Demo, self_check: bool) -> ExitCode {
-    crate::log(tracing::Level::WARN);
+    let _log = crate::log::start(tracing::Level::WARN);
     let played = match staged(asked, self_check) {
         Ok(played) => played,
         Err(why) => {
--- a/crates/shaletide/src/main.rs
+++ b/crates/shaletide/src/main.rs
@@ -9,6 +9,7 @@
 mod explain;
 mod explore;
 mod files;
+mod log;
 mod node;
 mod record;
 mod reload;
@@ -100,14 +101,6 @@
     ExitCode::from(SENSELESS)
 }
 
-/// Logs to standard error from now on, at the level that NODE_LOG names or else at this one.
-fn log(usual: tracing::Level) {
-    let level = std::env::var("NODE_LOG").ok().and_then(|l| l.parse().ok()).unwrap_or(usual);
-    let lines = tracing_subscriber::fmt().with_writer(std::io::stderr).with_ansi(false).with_max_level(level);
-    // A line that cannot be written is lost: saying so would panic, as that cannot be written either.
-    lines.log_internal_errors(false).init();
-}
-
 /// Serves until it is told to stop.
 fn started(setup: impl FnOnce() -> Result<Setup, String>, again: Again, self_check: bool) -> ExitCode {
     let begun = Instant::now();
@@ -129,7 +122,7 @@
         Ok(setup) => setup,
         Err(why) => return senseless(&why),
     };
-    log(tracing::Level::INFO);
+    let _log = log::start(tracing::Level::INFO);
     let local = tokio::task::LocalSet::new();
     let served = local.block_on(&runtime, serve(setup, again, hangup, self_check, begun));
     drop(local);
--- a/crates/shaletide/tests/large_fleet.rs
+++ b/crates/shaletide/tests/large_fleet.rs
@@ -195,3 +195,38 @@
     served_by(&proxy, &["low", "high"], 40);
     holds_its_limits(&proxy);
 }
+
+/// A line for each of 1,024 backends is more than a pipe takes. Whoever collects the log may be slow, or gone.
+#[test]
+fn a_log_that_nobody_reads_holds_up_neither_start_nor_requests_nor_end() {
+    let (low, high) = (BackendServer::start(|_| ok("low")), BackendServer::start(|_| ok("high")));
+    let (discovery, door) = (DiscoveryServer::start(), Refusing::new());
+    let known = list(4, true, &entries([low.address, high.address], 0..BACKENDS, "SERVING"));
+    let config = format!(
+        r#"{{"name":"n0","listen":"{}","discovery":"{}","seed":1,"limits":{{"sockets":{DESCRIPTORS}}},"known":{known},
+        "settings":{}}}"#,
+        door.address(),
+        discovery.address,
+        settings("automatic")
+    );
+    let mut child = launch(Some(&config)).spawn().unwrap();
+    let begun = std::time::Instant::now();
+    while TcpStream::connect(door.address()).is_err() {
+        assert!(begun.elapsed() < PATIENCE, "it does not listen");
+        std::thread::sleep(Duration::from_millis(5));
+    }
+    for n in 0..20 {
+        let answer = Client::connect(door.address()).ask(&read(3.0));
+        assert_eq!(answer.status(), 200, "request {n}");
+    }
+    let pid = child.id().to_string();
+    assert!(std::process::Command::new("kill").args(["-TERM", &pid]).status().unwrap().success());
+    let ended = loop {
+        match child.try_wait().unwrap() {
+            Some(ended) => break ended,
+            None if begun.elapsed() < PATIENCE => std::thread::sleep(Duration::from_millis(5)),
+            None => panic!("it does not end"),
+        }
+    };
+    assert!(ended.success());
+}
