--- a/crates/http/src/accept.rs
+++ b/crates/http/src/accept.rs
@@ -1,6 +1,7 @@
 //! The accept loop: admits connections up to the limit, and serves each in a task of its own.
 
 use crate::connection::Client;
+use crate::limits::EXTRA_CONNECTIONS;
 use crate::listener::accept_any;
 use crate::server::Server;
 use shaletide_balancer::Micros;
@@ -10,8 +11,6 @@
 use tokio::net::{TcpListener, TcpStream};
 use tracing::warn;
 
-/// Connections accepted beyond the limit, on descriptors of the reserve: each is closed after its response.
-pub(crate) const EXTRA_CONNECTIONS: usize = 24;
 /// Turns of the event loop after which the first request on a new connection has been read, if it was there.
 pub(crate) const READ_TURNS: usize = 4;
 /// Accept errors are logged at most this often.
@@ -35,16 +34,18 @@
         match accept_any(listeners, self.next_connection.get()).await {
             Ok((tcp, _)) => self.admit(tcp),
             Err(e) => {
-                // Out of descriptors, or a client that closed while it was queued: never fatal.
-                let made_room = self.evict_one() || self.host.make_room();
+                // A client that closed while it was queued: the next one is accepted at once.
+                if e.kind() == std::io::ErrorKind::ConnectionAborted {
+                    return;
+                }
+                // Out of descriptors: never fatal.
+                let _ = self.evict_one() || self.host.make_room();
                 let now = self.host.clock.now();
                 if now - self.accept_logged.get() >= ACCEPT_LOG_INTERVAL {
                     self.accept_logged.set(now);
                     warn!("accept: {e}; {} clients, {} upstreams", self.clients(), self.host.upstreams());
                 }
-                if !made_room || e.kind() != std::io::ErrorKind::ConnectionAborted {
-                    tokio::time::sleep(Duration::from_millis(5)).await;
-                }
+                tokio::time::sleep(Duration::from_millis(5)).await;
             }
         }
     }
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -6,6 +6,7 @@
 mod bodies;
 mod connection;
 mod eviction;
+mod limits;
 mod listener;
 mod proxy;
 mod request;
@@ -21,6 +22,7 @@
 mod trace;
 mod upstream;
 
+pub use limits::CLIENT_OVERFLOW;
 pub use listener::listen;
 pub use request::Fault;
 pub use rules::{ClassRule, Rules, RulesDef};
--- a/crates/http/src/serve.rs
+++ b/crates/http/src/serve.rs
@@ -1,6 +1,7 @@
 //! Serves the requests of one connection until it ends.
 
 use crate::connection::Client;
+use crate::limits::MAX_LINGERING;
 use crate::server::Server;
 use crate::timer::Timer;
 use hyper::header::CONNECTION;
@@ -12,8 +13,6 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-/// Connections that may linger after their last response at the same time, on descriptors of the reserve.
-const MAX_LINGERING: usize = 16;
 /// How long the input of a lingering connection is read and discarded.
 const LINGER_TIMEOUT: Duration = Duration::from_millis(500);
 /// The longest request head in bytes; hyper's read buffer is limited to it.
--- a/crates/http/src/shutdown.rs
+++ b/crates/http/src/shutdown.rs
@@ -1,7 +1,8 @@
 //! The server's main loop and its graceful shutdown.
 
-use crate::accept::{EXTRA_CONNECTIONS, READ_TURNS};
+use crate::accept::READ_TURNS;
 use crate::connection::Client;
+use crate::limits::EXTRA_CONNECTIONS;
 use crate::server::Server;
 use shaletide_balancer::{Micros, Time};
 use std::future::Future;
--- a/crates/net/src/host.rs
+++ b/crates/net/src/host.rs
@@ -35,8 +35,8 @@
 const SWEEP: Duration = Duration::from_millis(500);
 /// An answer may be so late in the eyes of the monitors: as late as a busy machine wakes.
 const SLACK: Micros = Micros(100_000);
-/// A list on record is cut behind so many bytes.
-const LIST_BYTES: usize = 64 << 10;
+/// A list on record is cut behind so many bytes: 1,024 backends fit whose names are of 248 bytes.
+const LIST_BYTES: usize = 256 << 10;
 /// So many broken rules are kept for a report, and have a line each.
 const BROKEN: usize = 50;
 /// So many conflicts between lists are named in a line.
--- a/crates/watch/src/call.rs
+++ b/crates/watch/src/call.rs
@@ -2,6 +2,7 @@
 
 use bytes::Bytes;
 use http_body_util::{BodyExt, Empty, Limited};
+use hyper::body::Incoming;
 use hyper::client::conn::http1;
 use hyper::Request;
 use shaletide_membership::List;
@@ -13,7 +14,8 @@
 use std::time::Duration;
 use tokio::net::TcpStream;
 
-/// A list may be longer than a request's body, but not without bound.
+/// The longest body of an answer, in bytes: 4 KiB for each of 1,024 backends, ten times what an indented entry takes.
+/// A longer one is an answer that cannot be read, and the list stays as it is.
 const MAX_LIST: usize = 4 * 1024 * 1024;
 
 /// Why a call brought no list.
@@ -59,14 +61,26 @@
     Ok(list)
 }
 
-/// One call. A connection that does not come up within `prompt` fails it: until it is up no call waits anywhere.
+/// What one call may take.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct CallTimes {
+    /// From the call to the whole head of its answer.
+    pub(crate) head: Duration,
+    /// For a connection to come up, as until then no call waits anywhere; and between two pieces of an answer's body.
+    pub(crate) piece: Duration,
+    /// For the whole body.
+    pub(crate) transfer: Duration,
+}
+
+/// One call.
 pub(crate) async fn fetch(
-    link: &mut Option<Link>, at: SocketAddr, uri: &str, prompt: Duration,
+    link: &mut Option<Link>, at: SocketAddr, uri: &str, times: CallTimes,
 ) -> Result<List, WatchError> {
+    let head_by = tokio::time::Instant::now() + times.head;
     let mut live = match kept(link).await {
         Some(live) => live,
         None => {
-            let connected = tokio::time::timeout(prompt, TcpStream::connect(at)).await;
+            let connected = tokio::time::timeout(times.piece, TcpStream::connect(at)).await;
             let late = |_| std::io::Error::from(std::io::ErrorKind::TimedOut);
             let tcp = connected.map_err(late).and_then(|tcp| tcp).map_err(WatchError::Connect)?;
             let (sender, conn) = http1::handshake(Stream::new(tcp)).await.map_err(boxed)?;
@@ -75,12 +89,15 @@
     };
     let request = Request::get(uri).header("host", at.to_string()).body(Empty::new()).map_err(boxed)?;
     let Link { sender, conn } = &mut live;
-    let answer = async {
+    let head = async {
         sender.ready().await.map_err(boxed)?;
-        let answer = sender.send_request(request).await.map_err(boxed)?;
+        sender.send_request(request).await.map_err(boxed)
+    };
+    let answer = async {
+        let answer = tokio::time::timeout_at(head_by, head).await.map_err(silent)??;
         let status = answer.status().as_u16();
-        let body = Limited::new(answer.into_body(), MAX_LIST).collect().await.map_err(WatchError::Http)?;
-        Ok((status, body.to_bytes()))
+        let body = tokio::time::timeout(times.transfer, collected(answer.into_body(), times.piece));
+        Ok((status, body.await.map_err(silent)??))
     };
     let (status, body) = driven(conn, answer).await.unwrap_or(Err(WatchError::Ended))?;
     *link = Some(live);
@@ -90,6 +107,17 @@
     List::read(&body).map_err(WatchError::Json)
 }
 
+/// The whole body, no two pieces of which may lie further apart.
+async fn collected(body: Incoming, apart: Duration) -> Result<Vec<u8>, WatchError> {
+    let mut body = Limited::new(body, MAX_LIST);
+    let mut bytes = Vec::new();
+    while let Some(frame) = tokio::time::timeout(apart, body.frame()).await.map_err(silent)? {
+        let frame = frame.map_err(WatchError::Http)?;
+        bytes.extend_from_slice(frame.data_ref().map_or(&[], |piece| piece));
+    }
+    Ok(bytes)
+}
+
 /// The connection of the call before, unless it has ended: an answer may end it, and that shows when it is driven.
 async fn kept(link: &mut Option<Link>) -> Option<Link> {
     let mut live = link.take()?;
@@ -97,6 +125,10 @@
     (!over && !live.sender.is_closed()).then_some(live)
 }
 
+fn silent(_: tokio::time::error::Elapsed) -> WatchError {
+    WatchError::Silent
+}
+
 fn boxed(e: impl Into<BoxError>) -> WatchError {
     WatchError::Http(e.into())
 }
--- a/crates/watch/src/lib.rs
+++ b/crates/watch/src/lib.rs
@@ -5,7 +5,7 @@
 mod call;
 mod pace;
 
-use call::{fetch, fit, WatchError};
+use call::{fetch, fit, CallTimes, WatchError};
 use pace::Pace;
 use shaletide_balancer::{Discovery, ListUpdate, PoolId};
 use shaletide_membership::List;
@@ -109,8 +109,8 @@
         waits = waits.wrapping_add(u32::from(waits_for_news));
         let patience = if waits_for_news { wait + own.prompt } else { own.patience(in_vain) };
         let asked_at = Instant::now();
-        let call = tokio::time::timeout(patience, fetch(&mut link, at, &uri, own.prompt));
-        let answer = call.await.unwrap_or(Err(WatchError::Silent)).and_then(|list| fit(list, whole));
+        let times = CallTimes { head: patience, piece: own.prompt, transfer: own.transfer(failures) };
+        let answer = fetch(&mut link, at, &uri, times).await.and_then(|list| fit(list, whole));
         in_vain = !waits_for_news && matches!(answer, Err(WatchError::Silent));
         match answer {
             Ok(list) => {
@@ -148,7 +148,7 @@
                     let latest = own.latest_retry(asked_at, Instant::now(), position, failures);
                     let _ = tokio::time::timeout_at(latest.into(), host.followed(pool)).await;
                 } else {
-                    tokio::time::sleep(own.pause * (1 << failures.min(4)) / 2).await;
+                    tokio::time::sleep(own.pause_after(failures)).await;
                 }
                 // Whether it is back shows at once.
                 catches_up = true;
--- a/crates/watch/src/pace.rs
+++ b/crates/watch/src/pace.rs
@@ -2,12 +2,19 @@
 
 use std::time::{Duration, Instant};
 
+/// Once a call has failed the body of an answer may take so long, however steadily its pieces come.
+pub(crate) const MAX_TRANSFER: Duration = Duration::from_secs(3);
+/// Its multiples, modulo 1, are spread evenly over the range from 0 to 1, however many they are.
+const GOLDEN_RATIO: f64 = 0.618_033_988_749_895;
+/// The pause after a failed call doubles so often at most.
+const MAX_DOUBLINGS: u32 = 3;
+
 /// How calls are made: what an outage leaves the proxy blind to is told once they are over.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) struct Pace {
     /// One call waits so long for news, from the shortest to the longest of all proxies.
     wait: [Duration; 2],
-    /// What an answer may take beyond that before discovery counts as silent.
+    /// What an answer's head may take beyond that before discovery counts as silent, and each further piece of it.
     pub(crate) prompt: Duration,
     /// And what one to a call that waits for nothing may take: as long as others' calls may be worked on before it, and
     /// longer once that was not enough.
@@ -15,6 +22,8 @@
     /// After a failed call the next is made no later than so long after that one was made, from the shortest to the
     /// longest of all proxies.
     retry: [Duration; 2],
+    /// The body of an answer is whole after so long, unless a call has just failed.
+    transfer: Duration,
     /// Pause after the first failed call in a row, and at the least between two that brought nothing new; it
     /// doubles, three times at most.
     pub(crate) pause: Duration,
@@ -34,7 +43,7 @@
         let prompt = (grace / 2 + Duration::from_millis(400)).min(Duration::from_millis(1500));
         let (wait, turn) = ([6, 14].map(Duration::from_secs), [3, 5].map(Duration::from_secs));
         let retry = [1500, 2500].map(Duration::from_millis);
-        Pace { wait, prompt, turn, retry, pause: Duration::from_millis(50) }
+        Pace { wait, prompt, turn, retry, transfer: prompt, pause: Duration::from_millis(50) }
     }
 
     /// An agent on the own machine answers at once and at no cost. A call that was out as it fell silent is never
@@ -46,7 +55,8 @@
             (grace * hundredths / 100).clamp(Duration::from_millis(least), Duration::from_millis(most))
         };
         let (wait, prompt, pause) = (part(35, 50, 1000), part(25, 40, 500), part(2, 5, 50));
-        Pace { wait: [wait; 2], prompt, turn: [prompt; 2], retry: [pause * 8; 2], pause }
+        let retry = pause * (1 << MAX_DOUBLINGS);
+        Pace { wait: [wait; 2], prompt, turn: [prompt; 2], retry: [retry; 2], transfer: prompt, pause }
     }
 
     /// How long the so many-th call of a proxy waits.
@@ -61,6 +71,21 @@
         (made + spread(self.retry, position, failures)).max(now + rest)
     }
 
+    /// What the body of an answer may take, as so many calls in a row have failed. One that comes slowly is given up
+    /// at first, as another may come in time; a long list on a busy machine is waited for then.
+    pub(crate) fn transfer(&self, failures: u32) -> Duration {
+        if failures == 0 {
+            self.transfer
+        } else {
+            MAX_TRANSFER
+        }
+    }
+
+    /// The pause after so many failed calls in a row, before the next to an agent.
+    pub(crate) fn pause_after(&self, failures: u32) -> Duration {
+        self.pause * (1 << failures.saturating_sub(1).min(MAX_DOUBLINGS))
+    }
+
     /// What the answer to a call may take that waits for nothing, the last of which was given up unanswered or not.
     pub(crate) fn patience(&self, in_vain: bool) -> Duration {
         self.turn[usize::from(in_vain)]
@@ -70,7 +95,7 @@
 /// A time between these two for the so many-th call of a proxy. Multiples of the golden ratio lie evenly whatever their
 /// number: so do the times of proxies that watch in step.
 fn spread([least, most]: [Duration; 2], position: u32, call: u32) -> Duration {
-    let part = (f64::from(position) + f64::from(call)) * 0.618_033_988_749_895;
+    let part = (f64::from(position) + f64::from(call)) * GOLDEN_RATIO;
     least + (most - least).mul_f64(part.fract())
 }
 
