--- a/crates/net/src/stream.rs
+++ b/crates/net/src/stream.rs
@@ -2,10 +2,11 @@
 //! and whether the other side has closed or sent anything.
 
 use hyper::rt::{Read, ReadBufCursor, Write};
+use rustix::event::{PollFd, PollFlags, Timespec};
 use std::cell::{Cell, RefCell};
 use std::io;
 use std::pin::Pin;
-use std::rc::Rc;
+use std::rc::{Rc, Weak};
 use std::task::{ready, Context, Poll, Waker};
 use std::time::Instant;
 use tokio::io::{AsyncRead, ReadBuf};
@@ -78,6 +79,17 @@
 #[derive(Clone)]
 pub struct Stream(Rc<Inner>);
 
+/// The other side of a connection, looked at without keeping that open.
+#[derive(Clone)]
+pub struct PeerWatch(Weak<Inner>);
+
+impl PeerWatch {
+    /// The connection has ended, or its other side has closed it by what the kernel has at this moment.
+    pub fn closed(&self) -> bool {
+        self.0.upgrade().is_none_or(|inner| Stream(inner).peer_closed())
+    }
+}
+
 struct Inner {
     /// Borrowed for the time of one call only.
     tcp: RefCell<TcpStream>,
@@ -91,6 +103,8 @@
     begun: Cell<u64>,
     /// Not a byte of it is written from then on.
     until: Cell<Option<Instant>>,
+    /// The connection of the client for whom it is sent.
+    client: RefCell<Option<PeerWatch>>,
     /// Bytes came before the last byte of the present request had gone out.
     early: Cell<bool>,
     /// The same of what was read since `mark_idle`, and the bytes that came behind the head.
@@ -120,13 +134,14 @@
         let final_begun = Cell::new(false);
         let (reads, more, full) = (Cell::new(0), Notify::new(), Cell::new(false));
         let (untouched, begun, early) = (Cell::new(false), Cell::new(0), Cell::new(false));
-        let (tcp, until) = (RefCell::new(tcp), Cell::new(None));
+        let (tcp, until, client) = (RefCell::new(tcp), Cell::new(None), RefCell::new(None));
         Stream(Rc::new(Inner {
             tcp,
             out,
             body_left,
             untouched,
             until,
+            client,
             begun,
             early,
             came,
@@ -141,6 +156,11 @@
         }))
     }
 
+    /// Its other side, to be asked later whether it is still there.
+    pub fn watch(&self) -> PeerWatch {
+        PeerWatch(Rc::downgrade(&self.0))
+    }
+
     /// Nothing of a new request is written yet, however long it will be.
     pub fn begin_nothing(&self) {
         self.0.out.set(Head::Before);
@@ -163,6 +183,16 @@
         self.0.until.set(until);
     }
 
+    /// Not a byte is written any more once that client has closed its connection, as long as none has been.
+    pub fn write_for(&self, client: Option<PeerWatch>) {
+        self.0.client.replace(client);
+    }
+
+    /// The client for whom the request is written has closed its connection.
+    pub fn client_closed(&self) -> bool {
+        self.0.client.borrow().as_ref().is_some_and(PeerWatch::closed)
+    }
+
     /// That time has come.
     pub fn overdue(&self) -> bool {
         self.0.until.get().is_some_and(|until| Instant::now() >= until)
@@ -320,6 +350,25 @@
         self.0.heard.get() || told.is_ready() && self.stirred()
     }
 
+    /// The other side has closed its connection, or its sending on it, or has reset it, by what the kernel has at this
+    /// moment. A client that ends its sending counts as gone, as the platform's protocol has it.
+    pub fn peer_closed(&self) -> bool {
+        match self.peek() {
+            Ok(0) => true,
+            Ok(_) => self.closed_behind_bytes(),
+            Err(e) => e.kind() != io::ErrorKind::WouldBlock,
+        }
+    }
+
+    /// The same where bytes are unread, which hide the end behind them from a read.
+    fn closed_behind_bytes(&self) -> bool {
+        let tcp = self.0.tcp.borrow();
+        let mut polled = [PollFd::new(&*tcp, PollFlags::RDHUP)];
+        let asked = rustix::event::poll(&mut polled, Some(&Timespec::default()));
+        let closed = PollFlags::RDHUP | PollFlags::HUP | PollFlags::ERR;
+        asked.is_ok() && polled[0].revents().intersects(closed)
+    }
+
     /// Asks the kernel itself: the event loop may not have come round to it yet.
     fn peek(&self) -> io::Result<usize> {
         socket2::SockRef::from(&*self.0.tcp.borrow()).peek(&mut [std::mem::MaybeUninit::uninit()])
@@ -370,6 +419,9 @@
             if self.overdue() {
                 return Poll::Ready(Err(io::ErrorKind::TimedOut.into()));
             }
+            if self.0.untouched.get() && self.client_closed() {
+                return Poll::Ready(Err(io::ErrorKind::ConnectionAborted.into()));
+            }
             // A close that lies unread there would make of this a request that may have run, and an answer its own.
             if self.0.untouched.get() && self.stirred() {
                 return Poll::Ready(Err(io::ErrorKind::ConnectionAborted.into()));
@@ -394,151 +446,4 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-    use std::io::{Read as _, Write as _};
-
-    async fn pair() -> (Stream, std::net::TcpStream) {
-        let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
-        let tcp = TcpStream::connect(listener.local_addr().unwrap()).await.unwrap();
-        (Stream::new(tcp), listener.accept().unwrap().0)
-    }
-
-    async fn write(stream: &mut Stream, bytes: &[u8]) {
-        let mut left = bytes;
-        while !left.is_empty() {
-            let n = std::future::poll_fn(|cx| Pin::new(&mut *stream).poll_write(cx, left)).await.unwrap();
-            left = &left[n..];
-        }
-    }
-
-    /// Before the last byte a request has not run, from it on it may have: one byte decides.
-    #[tokio::test]
-    async fn a_request_counts_as_written_with_its_last_byte() {
-        let (mut stream, mut peer) = pair().await;
-        for parts in [["POST / HTTP/1.1\r\nA: 1\r", "\n\r\nbod", "y"], ["GET / HTTP/1.1\r\n", "\r\nbo", "dy"]]
-        {
-            stream.begin_request(4);
-            for part in parts {
-                assert!(!stream.request_written(), "before {part:?}");
-                write(&mut stream, part.as_bytes()).await;
-            }
-            assert!(stream.request_written());
-            peer.read_exact(&mut vec![0; parts.concat().len()]).unwrap();
-        }
-        stream.begin_request(0);
-        write(&mut stream, b"GET / HTTP/1.1\r\n\r").await;
-        assert!(!stream.request_written());
-        write(&mut stream, b"\n").await;
-        assert!(stream.request_written());
-    }
-
-    /// The box reads half of it, and the rest only when its time is over: the last byte never comes.
-    #[tokio::test]
-    async fn a_request_that_is_not_whole_when_its_time_is_over_never_gets_its_last_byte() {
-        for late in [false, true] {
-            let (mut stream, mut peer) = pair().await;
-            let whole = vec![b'x'; 64 << 20]; // more than the kernel holds
-            stream.begin_request(whole.len());
-            stream.write_until(Some(Instant::now() + std::time::Duration::from_secs(600)));
-            write(&mut stream, b"POST / HTTP/1.1\r\n\r\n").await;
-            let mut sent = 0;
-            let mut cx = Context::from_waker(Waker::noop());
-            while let Poll::Ready(n) = Pin::new(&mut stream).poll_write(&mut cx, &whole[sent..]) {
-                sent += n.unwrap();
-            }
-            assert!(!stream.untouched() && !stream.overdue());
-            stream.write_until(late.then(Instant::now));
-            let reads = std::thread::spawn(move || std::io::copy(&mut peer, &mut std::io::sink()).unwrap());
-            let mut failed = None;
-            while sent < whole.len() && failed.is_none() {
-                let left = &whole[sent..];
-                match std::future::poll_fn(|cx| Pin::new(&mut stream).poll_write(cx, left)).await {
-                    Ok(n) => sent += n,
-                    Err(e) => failed = Some(e.kind()),
-                }
-            }
-            assert_eq!(failed, late.then_some(io::ErrorKind::TimedOut));
-            assert_eq!(stream.request_written(), !late);
-            drop(stream);
-            assert_eq!(reads.join().unwrap(), 19 + sent as u64, "what it has is what was written");
-        }
-    }
-
-    /// Wherever the reads fall, the bytes behind the head are counted, and no other.
-    #[test]
-    fn a_head_ends_with_its_first_empty_line_whatever_ends_lines() {
-        let heads = [
-            "GET / HTTP/1.1\r\nA: 1\r\n\r\n",
-            "GET / HTTP/1.1\nA: 1\n\n",
-            "GET / HTTP/1.1\nA: 1\n\r\n",
-            "GET / HTTP/1.1\r\nA: 1\r\n\n",
-            "GET / HTTP/1.1\r\n\r\n",
-            "\r\n\n\r\n\r\nGET / HTTP/1.1\n\n",
-        ];
-        for head in heads {
-            for behind in ["", "b", "\n", "\r\n\r\n", "body\n\nGET / HTTP/1.1\n\n"] {
-                let all = format!("{head}{behind}");
-                let (one, end) = (Cell::new(Head::Before), head.len());
-                for (at, byte) in all.bytes().enumerate() {
-                    assert_eq!(behind_head(&one, &[byte]), usize::from(at >= end), "{at} of {all:?}");
-                    assert_eq!(one.get() == Head::Whole, at + 1 >= end, "{at} of {all:?}");
-                }
-                for cut in 0..=all.len() {
-                    let (state, (a, b)) = (Cell::new(Head::Before), all.as_bytes().split_at(cut));
-                    let counted = [a, b].map(|part| behind_head(&state, part));
-                    assert_eq!(counted.iter().sum::<usize>(), behind.len(), "cut at {cut} of {all:?}");
-                }
-            }
-        }
-        for open in ["\r\n\r\n", "\n\n", "GET / HTTP/1.1\r\nA: 1\r\n\r", "A\r\r\n", "A\n\r\r", "A\n \n"] {
-            let state = Cell::new(Head::Before);
-            assert_eq!(behind_head(&state, open.as_bytes()), 0, "{open:?}");
-            assert_ne!(state.get(), Head::Whole, "{open:?}");
-        }
-    }
-
-    /// However the reads fall, and however many there are of them.
-    #[tokio::test]
-    async fn answers_of_status_1xx_are_no_beginning_of_the_one_that_follows() {
-        let early = "HTTP/1.1 103 Early Hints\r\nLink: </x>\r\n\r\n";
-        let whole = "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ncash";
-        for head in ["", early, "HTTP/1.0 100 X\n\n", "\r\nHTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 199\r\n\r\n"]
-        {
-            let all = format!("{head}{whole}");
-            let heads = head.matches(" 1").count() as u64;
-            for cut in 0..=all.len() {
-                let (stream, _peer) = pair().await;
-                stream.read(&all.as_bytes()[..cut]);
-                assert_eq!(stream.informed() == heads, cut >= head.len(), "{cut} of {all:?}");
-                assert_eq!(
-                    stream.final_begun() && stream.informed() == heads,
-                    cut > head.len(),
-                    "{cut} of {all:?}"
-                );
-                stream.read(&all.as_bytes()[cut..]);
-                assert_eq!((stream.informed(), stream.0.behind.get()), (heads, 4), "{cut} of {all:?}");
-                stream.mark_idle();
-                assert!(!stream.final_begun());
-            }
-        }
-        for other in ["HTTP/1.1 200 OK\r\n\r\n", "POST /1.1 100 HTTP/1.1\r\n\r\n", "HTTP/1.1  100 X\r\n\r\n"]
-        {
-            let (stream, _peer) = pair().await;
-            stream.read(other.as_bytes());
-            assert_eq!((stream.informed(), stream.final_begun()), (0, true), "{other:?}");
-        }
-    }
-
-    /// The kernel is asked, not the event loop, which has had no chance to hear of it here.
-    #[tokio::test]
-    async fn what_the_other_side_does_is_seen_at_once() {
-        let (stream, mut peer) = pair().await;
-        assert!(!stream.stirred());
-        peer.write_all(b"x").unwrap();
-        assert!(stream.stirred());
-        let (stream, peer) = pair().await;
-        drop(peer);
-        assert!(stream.stirred());
-    }
-}
+mod tests;
