--- a/crates/deployments/src/validate.rs
+++ b/crates/deployments/src/validate.rs
@@ -1,6 +1,6 @@
 //! What every site satisfies, drawn here or read back: bounds of single values, and how values fit each other.
 
-use crate::model::{Class, DiscoveryMode, Effect, Kind, Range, ReportSource, Site, Tier, WorthUnit};
+use crate::model::{Class, DiscoveryMode, Effect, Hints, Kind, Range, ReportSource, Site, Tier, WorthUnit};
 use std::fmt;
 
 /// Zones of a site at most.
@@ -122,7 +122,7 @@
     checks.share("load.zone_skew", load.zone_skew);
     let even = site.net.zones.len() > 1 || load.zone_skew.high == 0.0;
     checks.require("load.zone_skew", even, "0 with one zone");
-    let by_work = load.hints == crate::model::Hints::None || load.worth_by == WorthUnit::Work;
+    let by_work = load.hints == Hints::None || load.worth_by == WorthUnit::Work;
     checks.require("load.worth_by", by_work, "\"work\" where requests tell their work");
     let keyed = site.affinity.is_none() || load.keys > 0;
     checks.require("fam", keyed, "no affinity without keys");
