Send classes of more than mean work to cold backends among many proxies

Cause: where a proxy's part of a cold backend's budget is below one request it was taken for one of mean work, and a class that takes longer than the mean (by its latency) never fitted: it was kept from every backend that had started within the ramp (24 s), for as long as the part stayed below it. With 30 proxies in the emulator 25 to 30 % of the looks at a backend ended there. The budget did not protect anything by this: the classes below the mean went on.

Change: the first request of a proxy in a fall window may exceed its part, by one of mean work, or by the root of what the backend is allowed where the part is below one; it is charged whole, so nothing follows it in that window. For classes of one work nothing changes.

--- a/crates/balancer/src/rules.rs
+++ b/crates/balancer/src/rules.rs
@@ -768,14 +768,17 @@
         if warmth >= 1.0 {
             return f64::MAX;
         }
-        let proxies = f64::from(self.cfg.proxies);
         let fair = self.rate.per_s().unwrap_or(1.0) * self.loads.fleet() / self.peers.len() as f64;
         // Against few ready backends the speed formula overshoots; a bare 1/T a core and one more is sure.
         let sure = |k: &Kind| k.latency.get().map(|t| k.speed.min((1.0 + f64::from(p.entry.cores)) / t));
         let speed = self.kinds.get(&p.entry.kind).and_then(sure).unwrap_or(fair);
         let spent: f64 = p.spent.iter().filter(|s| now - s.0 < self.cfg.fall_window).map(|s| s.1).sum();
-        let all = self.cfg.fall_multiple * warmth * speed * self.cfg.fall_window.secs() / proxies;
-        (all * FALL_MARGIN).max(1.0) - spent
+        let allowed = self.cfg.fall_multiple * warmth * speed * self.cfg.fall_window.secs();
+        let part = allowed * FALL_MARGIN / f64::from(self.cfg.proxies);
+        // The first request of a window may exceed the part, or every class above the mean would be kept from
+        // cold backends: by one of mean work, and by the spread of chance where the part is less than one.
+        let excess = if part < 1.0 { allowed.sqrt().max(1.0) } else { 1.0 };
+        part.max(1.0) + if spent > 0.0 { 0.0 } else { excess } - spent
     }
 
     fn may_send(&self, now: Time, r: &Request) -> bool {
@@ -794,11 +797,9 @@
         let work = self.work(r.class);
         let any_free = self.cfg.classes.iter().any(|c| c.effect == Effect::Free);
         let may_try = r.sent.is_empty() && (effect == Effect::Free || !any_free);
-        let (mut all, mut shunned) = (0.0, 0.0);
-        for p in self.peers.values().filter(|p| p.ready > 0.0) {
-            (all, shunned) = (all + 1.0, shunned + f64::from(p.shuns(now, r.class)));
-        }
-        let heed = shunned <= all * PANIC;
+        let ready = || self.peers.values().filter(|p| p.ready > 0.0);
+        let shunned = ready().filter(|p| p.shuns(now, r.class)).count() as f64;
+        let heed = shunned <= ready().count() as f64 * PANIC;
         let mut open: Vec<(BackendId, KindId, f64)> = Vec::new();
         let (mut listed, mut able) = (false, false);
         for (&b, p) in &self.peers {
@@ -830,10 +831,7 @@
                 }
             }
         }
-        let mut some: Vec<KindId> = open.iter().map(|o| o.1).collect();
-        some.dedup();
-        some.sort_unstable();
-        some.dedup();
+        let some: BTreeSet<KindId> = open.iter().map(|o| o.1).collect();
         let kinds: Vec<_> = some.iter().filter_map(|k| Some((*k, self.kinds.get(k)?.pull))).collect();
         let kind = self.dice.pick(&kinds);
         let inside = |kind| open.iter().filter(|o| o.1 == kind).map(|o| (o.0, o.2)).collect::<Vec<_>>();
--- a/crates/emulate/src/rules.rs
+++ b/crates/emulate/src/rules.rs
@@ -36,6 +36,8 @@
     /// The same as a part of what makes it fall: where that bears N requests of mean work, N + 3 x root of N + 3 of them, so
     /// that chance alone is no fault where N is small.
     pub nearest_fall: f64,
+    /// The same as a part of N + 2 x root of N + 2, beyond which a backend falls on the operators' days.
+    pub nearest_operators_fall: f64,
 }
 
 impl Watch {
@@ -83,6 +85,8 @@
         let part = sum / bears.max(1e-9);
         let many = bears / mean_s;
         self.nearest_fall = self.nearest_fall.max(sum / mean_s / (many + 3.0 * many.sqrt() + 3.0));
+        let bound = many + 2.0 * many.sqrt() + 2.0;
+        self.nearest_operators_fall = self.nearest_operators_fall.max(sum / mean_s / bound);
         self.fullest = self.fullest.max(part);
         if part > SLACK {
             sums.clear();
--- a/crates/emulate/tests/cold.rs
+++ b/crates/emulate/tests/cold.rs
@@ -42,3 +42,25 @@
         }
     }
 }
+
+/// Backends are replaced and a zone returns cold, under a burst, before 30 and before 350 proxies.
+#[test]
+fn cold_backends_stay_below_their_fall_with_30_and_with_350_proxies() {
+    for (proxies, backends, zones) in [(30, 8, 2), (30, 12, 2), (30, 20, 2), (350, 20, 2), (350, 200, 5)] {
+        for seed in 1..=2 {
+            for reports in [true, false] {
+                let mut day = Day::calm(proxies, backends, 0.65, seed)
+                    .with("cold", 1, 3, Trouble::Replace(0.35))
+                    .with("cold", 6, 8, Trouble::ZoneDies)
+                    .with("cold", 5, 12, Trouble::Burst(1.5));
+                (day.zones, day.length) = (zones, Micros(12_000_000));
+                if !reports {
+                    day.reports = None;
+                }
+                let nearest = play(&day, Who::Program).watch.nearest_operators_fall;
+                let what = format!("{proxies} proxies, {backends} backends, seed {seed}, reports {reports}");
+                assert!(nearest < 1.0, "{nearest} of what makes one fall: {what}");
+            }
+        }
+    }
+}
