Move the tests of files and reload into test files

Need: tests live in test files; these two modules were the last new ones with tests inside. Change: moves alone.

--- /dev/null
+++ b/crates/shaletide/src/files/tests.rs
@@ -0,0 +1,28 @@
+//! Tests of `files` that need its private items.
+
+use super::*;
+use std::io::Write;
+
+/// Half of a file may make sense, and it is taken whole: by the time it is looked at it has to be at rest.
+#[test]
+fn a_file_that_is_written_to_while_it_is_read_again_is_none() {
+    let path = std::env::temp_dir().join(format!("shaletide-still-{}", std::process::id()));
+    let next = path.with_extension("next");
+    std::fs::write(&path, "half").unwrap();
+    let more = || {
+        let mut file = std::fs::File::options().append(true).open(&path).unwrap();
+        file.write_all(b" and half").unwrap();
+    };
+    let another = || {
+        std::fs::write(&next, "half and half").unwrap();
+        std::fs::rename(&next, &path).unwrap();
+    };
+    let read = |reading, wait: &dyn Fn()| read_still(&path, 100, reading, wait).map_err(|e| e.to_string());
+    let written = Err("it is being written".to_string());
+    assert_eq!(read(Reading::Again, &|| ()), Ok(b"half".to_vec()));
+    assert_eq!(read(Reading::Again, &more), written);
+    assert_eq!(read(Reading::Again, &another), written, "by one in its place, as long as it is");
+    assert_eq!(read(Reading::Again, &|| ()), Ok(b"half and half".to_vec()));
+    assert_eq!(read(Reading::First, &|| panic!("a first reading waits for nobody")).unwrap().len(), 13);
+    assert!(read(Reading::Again, &|| std::fs::remove_file(&path).unwrap()).is_err());
+}
--- /dev/null
+++ b/crates/shaletide/src/reload/tests.rs
@@ -0,0 +1,145 @@
+//! Tests of `reload` that need its private items.
+
+use super::*;
+use std::sync::mpsc as blocking;
+use std::sync::Mutex;
+
+type Came = Result<&'static str, &'static str>;
+
+/// A reading that waits for what comes of it: the name of a proxy, or what is wrong.
+type Begun = blocking::Sender<Came>;
+
+fn setup(name: &str) -> Setup {
+    let text = format!(
+        "[proxy]\nname = \"{name}\"\n[[listener]]\naddress = \"127.0.0.1:80\"\n[[class]]\nname = \"a\"\n\
+         [[pool]]\nname = \"p\"\nboxes = [\"127.0.0.1:1\"]\n"
+    );
+    let operator = shaletide_config::operator::read("test.toml", &text).expect("a sound file");
+    Setup::of_file(operator, String::new())
+}
+
+/// A reader whose readings wait for the test, and the readings in the order in which they began.
+fn reader() -> (Reader, Arc<Setup>, blocking::Receiver<Begun>) {
+    let (tell, begun) = blocking::channel();
+    let tell = Mutex::new(tell);
+    let again = move |_: &Setup| -> Result<Setup, String> {
+        let (came, wait) = blocking::channel::<Came>();
+        tell.lock().unwrap().send(came).unwrap();
+        match wait.recv() {
+            Ok(Ok(name)) => Ok(setup(name)),
+            Ok(Err(why)) => Err(why.to_string()),
+            Err(_) => panic!("planned"),
+        }
+    };
+    (Reader::new(Arc::new(again)), Arc::new(setup("running")), begun)
+}
+
+fn with_runtime<T>(work: impl std::future::Future<Output = T>) -> T {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
+    runtime.block_on(async { tokio::time::timeout(Duration::from_secs(20), work).await }).expect("an end")
+}
+
+/// The next reading that is over, taken: who asked for it, and its proxy's name or what is wrong.
+async fn taken(reader: &mut Reader, running: &Arc<Setup>) -> (Instant, Result<String, String>) {
+    let Read { number, asked, came } = reader.next(running).await;
+    let came = came.map(|setup| setup.operator.proxy.name);
+    reader.over(number, asked, came.clone().map(drop));
+    (asked, came)
+}
+
+#[test]
+fn a_file_that_makes_no_sense_yet_is_read_again_without_a_further_signal() {
+    with_runtime(async {
+        let (mut reader, running, begun) = reader();
+        reader.hangup(&running);
+        let files: [Came; 3] = [Err("empty"), Err("half"), Ok("whole")];
+        let script = std::thread::spawn(move || {
+            files.iter().for_each(|came| begun.recv().unwrap().send(*came).unwrap());
+            begun
+        });
+        let mut asked = Vec::new();
+        for came in files {
+            let (since, read) = taken(&mut reader, &running).await;
+            assert_eq!(read.is_ok(), came.is_ok(), "{read:?}");
+            asked.push(since);
+        }
+        let _begun = script.join().unwrap();
+        assert!(asked.iter().all(|since| *since == asked[0]), "all of it counts from the signal");
+        assert!(reader.due.is_none());
+    });
+}
+
+#[test]
+fn a_file_that_never_makes_sense_is_left_alone_after_six_readings() {
+    with_runtime(async {
+        let (mut reader, running, begun) = reader();
+        reader.hangup(&running);
+        let script = std::thread::spawn(move || {
+            // The reader itself fails: as bad as a file that does.
+            (0..=PAUSES.len()).for_each(|_| drop::<Begun>(begun.recv().unwrap()));
+            begun
+        });
+        for _ in 0..=PAUSES.len() {
+            assert!(taken(&mut reader, &running).await.1.is_err());
+        }
+        let begun = script.join().unwrap();
+        assert!(reader.due.is_none() && begun.try_recv().is_err());
+        assert!(PAUSES.iter().sum::<u64>() < 2000, "what a new discovery has counts after 4 s");
+    });
+}
+
+#[test]
+fn a_later_hangup_begins_afresh_and_counts_from_the_first_that_got_nothing() {
+    with_runtime(async {
+        let (mut reader, running, begun) = reader();
+        reader.hangup(&running);
+        begun.recv().unwrap().send(Err("half")).unwrap();
+        let first = taken(&mut reader, &running).await.0;
+        assert_eq!(reader.repeats, 1);
+        reader.hangup(&running);
+        assert_eq!((reader.repeats, reader.due), (0, None), "at once, with all the pauses before it");
+        begun.recv().unwrap().send(Ok("whole")).unwrap();
+        assert_eq!(taken(&mut reader, &running).await, (first, Ok("whole".into())));
+        reader.hangup(&running);
+        begun.recv().unwrap().send(Ok("later")).unwrap();
+        assert!(taken(&mut reader, &running).await.0 > first);
+    });
+}
+
+#[test]
+fn a_hangup_is_heeded_while_earlier_readings_hang_and_what_they_bring_later_is_too_old() {
+    with_runtime(async {
+        let (mut reader, running, begun) = reader();
+        reader.hangup(&running);
+        let hangs = begun.recv().unwrap();
+        reader.hangup(&running);
+        begun.recv().unwrap().send(Ok("second")).unwrap();
+        assert_eq!(taken(&mut reader, &running).await.1, Ok("second".into()));
+        reader.hangup(&running);
+        let third = begun.recv().unwrap();
+        hangs.send(Ok("first")).unwrap();
+        third.send(Ok("third")).unwrap();
+        assert_eq!(taken(&mut reader, &running).await.1, Ok("third".into()), "and not the first");
+    });
+}
+
+#[test]
+fn no_more_than_so_many_readings_hang_and_the_next_begins_as_one_comes_back() {
+    with_runtime(async {
+        let (mut reader, running, begun) = reader();
+        let mut hang = Vec::new();
+        for _ in 0..MOST {
+            reader.hangup(&running);
+            hang.push(begun.recv().unwrap());
+        }
+        reader.hangup(&running);
+        reader.hangup(&running);
+        assert_eq!(reader.out, MOST);
+        assert!(begun.try_recv().is_err());
+        hang.remove(1).send(Err("old")).unwrap();
+        assert!(taken(&mut reader, &running).await.1.is_err());
+        begun.recv().unwrap().send(Ok("last")).unwrap();
+        assert_eq!(taken(&mut reader, &running).await.1, Ok("last".into()));
+        assert!(reader.due.is_none() && begun.try_recv().is_err(), "two that waited are one reading");
+    });
+}
