--- a/crates/net/src/host/tests.rs
+++ b/crates/net/src/host/tests.rs
@@ -19,6 +19,13 @@
     }
 }
 
+/// Writes a request without a body in one call.
+async fn write_request(stream: &mut Stream) -> std::io::Result<usize> {
+    stream.begin_request(0);
+    let mut stream = std::pin::Pin::new(stream);
+    std::future::poll_fn(|cx| stream.as_mut().poll_write(cx, b"GET / HTTP/1.1\r\n\r\n")).await
+}
+
 /// Writes a request and waits for ever; what cannot be written has ended.
 struct Says;
 
@@ -28,10 +35,7 @@
     }
     fn run(self: Rc<Self>, mut leg: ExchangeSpec) -> ExchangeFuture {
         Box::pin(async move {
-            leg.stream.begin_request(0);
-            let mut stream = std::pin::Pin::new(&mut leg.stream);
-            let text = b"GET / HTTP/1.1\r\n\r\n";
-            match std::future::poll_fn(|cx| stream.as_mut().poll_write(cx, text)).await {
+            match write_request(&mut leg.stream).await {
                 Ok(_) => std::future::pending().await,
                 Err(_) => ExchangeOutcome::Ended,
             }
--- a/crates/net/src/host/tests/client_gone.rs
+++ b/crates/net/src/host/tests/client_gone.rs
@@ -77,10 +77,7 @@
 
     fn run(self: Rc<Self>, mut leg: ExchangeSpec) -> ExchangeFuture {
         Box::pin(async move {
-            leg.stream.begin_request(0);
-            let mut stream = std::pin::Pin::new(&mut leg.stream);
-            let text = b"GET / HTTP/1.1\r\n\r\n";
-            match std::future::poll_fn(|cx| stream.as_mut().poll_write(cx, text)).await {
+            match write_request(&mut leg.stream).await {
                 Ok(_) => {
                     self.written.set(self.written.get() + 1);
                     let ends = self.ends.take();
