--- a/crates/lab/src/judge/rules.rs
+++ b/crates/lab/src/judge/rules.rs
@@ -249,6 +249,7 @@
         ended,
         draining: None,
         work_ms: run.work_ms,
+        time_left: None,
     }
 }
 
--- a/crates/shaletide/src/demo/report.rs
+++ b/crates/shaletide/src/demo/report.rs
@@ -263,6 +263,7 @@
             ended: None,
             draining: None,
             work_ms: 16.0,
+            time_left: None,
         };
         let place = played.ledger.begin(record).expect("room");
         played.ledger.end(place, at + Micros(8_000), Ended::Served);
--- /dev/null
+++ b/crates/soak/shim/lib.rs
@@ -0,0 +1,454 @@
+//! A library to be preloaded (`LD_PRELOAD`) into a process under test: it takes the place of functions of the C library
+//! and lets them fail at the rates in a shared file. A test artefact, in no product binary.
+//!
+//! Each function makes the system call itself, so that nothing has to be looked up in the library it stands before.
+//! Unsafe code: exported C functions that get raw pointers from their caller, and pass them on to the kernel as they
+//! came; and one mapping of the shared file, which lives as long as the process.
+
+#[path = "../src/call_faults.rs"]
+#[allow(dead_code)] // its list of all faults is the orchestrator's
+mod call_faults;
+
+use call_faults::{
+    CallFault, CONTROL_BYTES, CONTROL_VARIABLE, FOLDER_VARIABLE, RATE_ONE, SEED_VARIABLE, WALL_OFFSET_AT,
+};
+use libc::{c_char, c_int, c_long, c_uint, c_void, off_t, size_t, sockaddr, socklen_t, ssize_t, timespec};
+use std::ffi::CStr;
+use std::sync::atomic::{AtomicI64, AtomicPtr, AtomicU32, AtomicU64, AtomicU8, Ordering::Relaxed};
+
+/// File descriptors that are told apart.
+const MAX_DESCRIPTORS: usize = 4096;
+/// The most bytes of a short read or write.
+const SHORT: u64 = 7;
+
+/// What a file descriptor is, as far as the shim has seen.
+const OTHER: u8 = 0;
+const TCP_ACCEPTED: u8 = 1;
+const TCP_OPENED: u8 = 2;
+const FILE: u8 = 3;
+
+static KINDS: [AtomicU8; MAX_DESCRIPTORS] = [const { AtomicU8::new(OTHER) }; MAX_DESCRIPTORS];
+static CONTROL: AtomicPtr<u8> = AtomicPtr::new(std::ptr::null_mut());
+static STATE: AtomicU8 = AtomicU8::new(UNREAD);
+static RANDOM: AtomicU64 = AtomicU64::new(0x9e37_79b9_7f4a_7c15);
+
+const UNREAD: u8 = 0;
+const READING: u8 = 1;
+const READ: u8 = 2;
+
+fn variable(name: &str) -> Option<&'static CStr> {
+    let mut terminated = [0u8; 64];
+    terminated.get_mut(..name.len())?.copy_from_slice(name.as_bytes());
+    // SAFETY: the name ends in a zero byte; the environment's text is not changed while the process starts.
+    unsafe {
+        let value = libc::getenv(terminated.as_ptr().cast::<c_char>());
+        (!value.is_null()).then(|| CStr::from_ptr(value))
+    }
+}
+
+/// Maps the shared file, once.
+fn attach() {
+    if STATE.compare_exchange(UNREAD, READING, Relaxed, Relaxed).is_err() {
+        return;
+    }
+    if let Some(seed) = variable(SEED_VARIABLE).and_then(|text| text.to_str().ok()?.parse::<u64>().ok()) {
+        RANDOM.store(seed.wrapping_mul(0x2545_f491_4f6c_dd1d) | 1, Relaxed);
+    }
+    if let Some(path) = variable(CONTROL_VARIABLE) {
+        // SAFETY: plain system calls; the mapping is shared, of the stated size, and never removed.
+        unsafe {
+            let file = libc::syscall(libc::SYS_openat, libc::AT_FDCWD, path.as_ptr(), libc::O_RDWR, 0);
+            let access = libc::PROT_READ | libc::PROT_WRITE;
+            let page =
+                libc::mmap(std::ptr::null_mut(), CONTROL_BYTES, access, libc::MAP_SHARED, file as c_int, 0);
+            libc::syscall(libc::SYS_close, file);
+            if page != libc::MAP_FAILED {
+                CONTROL.store(page.cast::<u8>(), Relaxed);
+            }
+        }
+    }
+    STATE.store(READ, Relaxed);
+}
+
+/// A word of the shared file.
+fn word(at: usize) -> Option<&'static AtomicU32> {
+    if STATE.load(Relaxed) == UNREAD {
+        attach();
+    }
+    let page = CONTROL.load(Relaxed);
+    // SAFETY: within the page, aligned to 4 bytes, and only ever accessed as an atomic.
+    (!page.is_null()).then(|| unsafe { &*page.add(at).cast::<AtomicU32>() })
+}
+
+fn random() -> u64 {
+    let mut x = RANDOM.load(Relaxed);
+    x ^= x << 13;
+    x ^= x >> 7;
+    x ^= x << 17;
+    RANDOM.store(x, Relaxed);
+    x.wrapping_mul(0x2545_f491_4f6c_dd1d) >> 16
+}
+
+/// Whether a call is to fail now; it is counted.
+fn fails(fault: CallFault) -> bool {
+    let Some(rate) = word(fault.rate_at()).map(|rate| rate.load(Relaxed)).filter(|rate| *rate > 0) else {
+        return false;
+    };
+    let hit = random() % u64::from(RATE_ONE) < u64::from(rate);
+    if hit {
+        if let Some(count) = word(fault.count_at()) {
+            count.fetch_add(1, Relaxed);
+        }
+    }
+    hit
+}
+
+fn one_of(errors: &[c_int]) -> c_int {
+    errors[random() as usize % errors.len()]
+}
+
+fn fail(error: c_int) -> c_int {
+    // SAFETY: the C library's own location of this thread's error number.
+    unsafe { *libc::__errno_location() = error };
+    -1
+}
+
+fn kind(descriptor: c_int) -> u8 {
+    let at = usize::try_from(descriptor).ok().and_then(|at| KINDS.get(at));
+    at.map_or(OTHER, |kind| kind.load(Relaxed))
+}
+
+fn set_kind(descriptor: c_int, kind: u8) {
+    if let Some(at) = usize::try_from(descriptor).ok().and_then(|at| KINDS.get(at)) {
+        at.store(kind, Relaxed);
+    }
+}
+
+fn is_tcp(descriptor: c_int) -> bool {
+    matches!(kind(descriptor), TCP_ACCEPTED | TCP_OPENED)
+}
+
+fn shortened(fault: CallFault, length: size_t) -> size_t {
+    if length > SHORT as size_t && fails(fault) {
+        1 + (random() % SHORT) as size_t
+    } else {
+        length
+    }
+}
+
+/// What a read from a TCP socket meets before the kernel is asked.
+fn read_error(descriptor: c_int, peeks: bool) -> Option<c_int> {
+    if fails(CallFault::InterruptedRead) {
+        return Some(libc::EINTR);
+    }
+    if !peeks && kind(descriptor) == TCP_OPENED && fails(CallFault::BrokenUpstream) {
+        // SAFETY: a system call on a descriptor of the process. The other side hears that it is over.
+        unsafe { libc::syscall(libc::SYS_shutdown, descriptor, libc::SHUT_RDWR) };
+        return Some(one_of(&[libc::ETIMEDOUT, libc::EHOSTUNREACH]));
+    }
+    None
+}
+
+/// What a write to a TCP socket meets before the kernel is asked.
+fn write_error() -> Option<c_int> {
+    if fails(CallFault::InterruptedWrite) {
+        return Some(libc::EINTR);
+    }
+    if fails(CallFault::SlowWrite) {
+        let pause = timespec { tv_sec: 0, tv_nsec: (20_000_000 + random() % 130_000_000) as c_long };
+        // SAFETY: a valid time, and no rest is asked for.
+        unsafe { libc::syscall(libc::SYS_nanosleep, &pause, std::ptr::null_mut::<timespec>()) };
+    }
+    None
+}
+
+/// # Safety
+/// As for the function of the C library.
+#[no_mangle]
+pub unsafe extern "C" fn recv(fd: c_int, buffer: *mut c_void, length: size_t, flags: c_int) -> ssize_t {
+    let mut length = length;
+    if is_tcp(fd) {
+        let peeks = flags & libc::MSG_PEEK != 0;
+        if let Some(error) = read_error(fd, peeks) {
+            return fail(error) as ssize_t;
+        }
+        if !peeks {
+            length = shortened(CallFault::ShortRead, length);
+        }
+    }
+    let (none, zero) = (std::ptr::null_mut::<c_void>(), 0usize);
+    libc::syscall(libc::SYS_recvfrom, fd, buffer, length, flags, none, zero) as ssize_t
+}
+
+/// # Safety
+/// As for the function of the C library.
+#[no_mangle]
+pub unsafe extern "C" fn read(fd: c_int, buffer: *mut c_void, length: size_t) -> ssize_t {
+    let mut length = length;
+    if is_tcp(fd) {
+        if let Some(error) = read_error(fd, false) {
+            return fail(error) as ssize_t;
+        }
+        length = shortened(CallFault::ShortRead, length);
+    } else if kind(fd) == FILE && fails(CallFault::DiskRead) {
+        return fail(libc::EIO) as ssize_t;
+    }
+    libc::syscall(libc::SYS_read, fd, buffer, length) as ssize_t
+}
+
+/// # Safety
+/// As for the function of the C library.
+#[no_mangle]
+pub unsafe extern "C" fn send(fd: c_int, buffer: *const c_void, length: size_t, flags: c_int) -> ssize_t {
+    let mut length = length;
+    if is_tcp(fd) {
+        if let Some(error) = write_error() {
+            return fail(error) as ssize_t;
+        }
+        length = shortened(CallFault::ShortWrite, length);
+    }
+    let (none, zero) = (std::ptr::null_mut::<c_void>(), 0usize);
+    libc::syscall(libc::SYS_sendto, fd, buffer, length, flags, none, zero) as ssize_t
+}
+
+/// How a write to a file in the watched folder fails: an error, or the part of it that is taken.
+fn disk_write(fd: c_int, length: size_t) -> Result<size_t, c_int> {
+    if kind(fd) != FILE || !fails(CallFault::DiskWrite) {
+        return Ok(length);
+    }
+    if length > 1 && random().is_multiple_of(3) {
+        return Ok(1 + random() as size_t % (length - 1));
+    }
+    Err(one_of(&[libc::EIO, libc::ENOSPC]))
+}
+
+/// # Safety
+/// As for the function of the C library.
+#[no_mangle]
+pub unsafe extern "C" fn write(fd: c_int, buffer: *const c_void, length: size_t) -> ssize_t {
+    let mut length = length;
+    if is_tcp(fd) {
+        if let Some(error) = write_error() {
+            return fail(error) as ssize_t;
+        }
+        length = shortened(CallFault::ShortWrite, length);
+    }
+    match disk_write(fd, length) {
+        Ok(length) => libc::syscall(libc::SYS_write, fd, buffer, length) as ssize_t,
+        Err(error) => fail(error) as ssize_t,
+    }
+}
+
+/// # Safety
+/// As for the function of the C library.
+#[no_mangle]
+pub unsafe extern "C" fn accept4(
+    fd: c_int, address: *mut sockaddr, length: *mut socklen_t, flags: c_int,
+) -> c_int {
+    if fails(CallFault::Accept) {
+        return fail(one_of(&[
+            libc::ECONNABORTED,
+            libc::EINTR,
+            libc::ENETDOWN,
+            libc::EPROTO,
+            libc::ENOPROTOOPT,
+            libc::EHOSTDOWN,
+            libc::ENONET,
+            libc::EHOSTUNREACH,
+            libc::EOPNOTSUPP,
+            libc::ENETUNREACH,
+            libc::EPERM,
+            libc::ENOBUFS,
+            libc::ENOMEM,
+        ]));
+    }
+    let taken = libc::syscall(libc::SYS_accept4, fd, address, length, flags) as c_int;
+    if taken >= 0 {
+        set_kind(taken, TCP_ACCEPTED);
+    }
+    taken
+}
+
+/// # Safety
+/// As for the function of the C library.
+#[no_mangle]
+pub unsafe extern "C" fn socket(domain: c_int, form: c_int, protocol: c_int) -> c_int {
+    if domain == libc::AF_INET && fails(CallFault::Socket) {
+        return fail(one_of(&[libc::ENFILE, libc::ENOBUFS, libc::ENOMEM]));
+    }
+    let made = libc::syscall(libc::SYS_socket, domain, form, protocol) as c_int;
+    if made >= 0 {
+        set_kind(made, OTHER);
+    }
+    made
+}
+
+/// # Safety
+/// As for the function of the C library.
+#[no_mangle]
+pub unsafe extern "C" fn connect(fd: c_int, address: *const sockaddr, length: socklen_t) -> c_int {
+    if !address.is_null() && c_int::from((*address).sa_family) == libc::AF_INET {
+        if fails(CallFault::Connect) {
+            let errors = [libc::EADDRNOTAVAIL, libc::ENETUNREACH, libc::ENOBUFS, libc::EINTR];
+            return fail(one_of(&errors));
+        }
+        set_kind(fd, TCP_OPENED);
+    }
+    libc::syscall(libc::SYS_connect, fd, address, length) as c_int
+}
+
+/// # Safety
+/// As for the function of the C library.
+#[no_mangle]
+pub unsafe extern "C" fn setsockopt(
+    fd: c_int, level: c_int, name: c_int, value: *const c_void, length: socklen_t,
+) -> c_int {
+    if is_tcp(fd) && fails(CallFault::SocketOption) {
+        return fail(libc::ENOBUFS);
+    }
+    libc::syscall(libc::SYS_setsockopt, fd, level, name, value, length) as c_int
+}
+
+/// # Safety
+/// As for the function of the C library.
+#[no_mangle]
+pub unsafe extern "C" fn epoll_wait(
+    epoll: c_int, events: *mut libc::epoll_event, most: c_int, timeout: c_int,
+) -> c_int {
+    if fails(CallFault::InterruptedWait) {
+        return fail(libc::EINTR);
+    }
+    let (no_mask, mask_size) = (std::ptr::null_mut::<c_void>(), 8usize);
+    libc::syscall(libc::SYS_epoll_pwait, epoll, events, most, timeout, no_mask, mask_size) as c_int
+}
+
+/// # Safety
+/// As for the function of the C library.
+#[no_mangle]
+pub unsafe extern "C" fn close(fd: c_int) -> c_int {
+    set_kind(fd, OTHER);
+    libc::syscall(libc::SYS_close, fd) as c_int
+}
+
+/// # Safety
+/// As for the function of the C library.
+#[no_mangle]
+pub unsafe extern "C" fn clock_gettime(clock: libc::clockid_t, at: *mut timespec) -> c_int {
+    let done = libc::syscall(libc::SYS_clock_gettime, clock, at) as c_int;
+    if done == 0 && matches!(clock, libc::CLOCK_REALTIME | libc::CLOCK_REALTIME_COARSE) {
+        let _ = word(0); // the shared file is mapped
+        let page = CONTROL.load(Relaxed);
+        if !page.is_null() {
+            let offset_ms = (*page.add(WALL_OFFSET_AT).cast::<AtomicI64>()).load(Relaxed);
+            (*at).tv_sec += offset_ms / 1000;
+        }
+    }
+    done
+}
+
+fn is_watched(path: *const c_char) -> bool {
+    let Some(folder) = variable(FOLDER_VARIABLE) else { return false };
+    // SAFETY: the caller's path, which ends in a zero byte.
+    !path.is_null() && unsafe { CStr::from_ptr(path) }.to_bytes().starts_with(folder.to_bytes())
+}
+
+fn path_error(path: *const c_char) -> Option<c_int> {
+    (is_watched(path) && fails(CallFault::DiskOpen)).then(|| one_of(&[libc::EIO, libc::ENOSPC, libc::ENFILE]))
+}
+
+unsafe fn open_at(folder: c_int, path: *const c_char, flags: c_int, mode: c_uint) -> c_int {
+    if let Some(error) = path_error(path) {
+        return fail(error);
+    }
+    let opened = libc::syscall(libc::SYS_openat, folder, path, flags, mode) as c_int;
+    if opened >= 0 {
+        set_kind(opened, if is_watched(path) { FILE } else { OTHER });
+    }
+    opened
+}
+
+/// # Safety
+/// As for the function of the C library.
+#[no_mangle]
+pub unsafe extern "C" fn open(path: *const c_char, flags: c_int, mode: c_uint) -> c_int {
+    open_at(libc::AT_FDCWD, path, flags, mode)
+}
+
+/// # Safety
+/// As for the function of the C library.
+#[no_mangle]
+pub unsafe extern "C" fn open64(path: *const c_char, flags: c_int, mode: c_uint) -> c_int {
+    open_at(libc::AT_FDCWD, path, flags, mode)
+}
+
+/// # Safety
+/// As for the function of the C library.
+#[no_mangle]
+pub unsafe extern "C" fn pread64(fd: c_int, buffer: *mut c_void, length: size_t, offset: off_t) -> ssize_t {
+    if kind(fd) == FILE && fails(CallFault::DiskRead) {
+        return fail(libc::EIO) as ssize_t;
+    }
+    libc::syscall(libc::SYS_pread64, fd, buffer, length, offset) as ssize_t
+}
+
+/// # Safety
+/// As for the function of the C library.
+#[no_mangle]
+pub unsafe extern "C" fn pread(fd: c_int, buffer: *mut c_void, length: size_t, offset: off_t) -> ssize_t {
+    pread64(fd, buffer, length, offset)
+}
+
+/// # Safety
+/// As for the function of the C library.
+#[no_mangle]
+pub unsafe extern "C" fn pwrite64(
+    fd: c_int, buffer: *const c_void, length: size_t, offset: off_t,
+) -> ssize_t {
+    match disk_write(fd, length) {
+        Ok(length) => libc::syscall(libc::SYS_pwrite64, fd, buffer, length, offset) as ssize_t,
+        Err(error) => fail(error) as ssize_t,
+    }
+}
+
+/// # Safety
+/// As for the function of the C library.
+#[no_mangle]
+pub unsafe extern "C" fn pwrite(fd: c_int, buffer: *const c_void, length: size_t, offset: off_t) -> ssize_t {
+    pwrite64(fd, buffer, length, offset)
+}
+
+fn sync_error(fd: c_int) -> Option<c_int> {
+    (kind(fd) == FILE && fails(CallFault::DiskSync)).then(|| one_of(&[libc::EIO, libc::ENOSPC]))
+}
+
+/// # Safety
+/// As for the function of the C library.
+#[no_mangle]
+pub unsafe extern "C" fn fsync(fd: c_int) -> c_int {
+    sync_error(fd).map_or_else(|| libc::syscall(libc::SYS_fsync, fd) as c_int, fail)
+}
+
+/// # Safety
+/// As for the function of the C library.
+#[no_mangle]
+pub unsafe extern "C" fn fdatasync(fd: c_int) -> c_int {
+    sync_error(fd).map_or_else(|| libc::syscall(libc::SYS_fdatasync, fd) as c_int, fail)
+}
+
+/// # Safety
+/// As for the function of the C library.
+#[no_mangle]
+pub unsafe extern "C" fn ftruncate64(fd: c_int, length: off_t) -> c_int {
+    let fault = kind(fd) == FILE && fails(CallFault::DiskOpen);
+    if fault {
+        return fail(libc::EIO);
+    }
+    libc::syscall(libc::SYS_ftruncate, fd, length) as c_int
+}
+
+/// # Safety
+/// As for the function of the C library.
+#[no_mangle]
+pub unsafe extern "C" fn unlink(path: *const c_char) -> c_int {
+    path_error(path).map_or_else(|| libc::syscall(libc::SYS_unlink, path) as c_int, fail)
+}
--- /dev/null
+++ b/crates/soak/src/clients.rs
@@ -0,0 +1,121 @@
+//! Clients beside the ordinary load: such that leave before their answer, and such that misbehave.
+
+use shaletide_base::Time;
+use shaletide_testkit::{Clock, Dice};
+use std::io;
+use std::net::SocketAddr;
+use std::time::Duration;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpStream;
+use tokio::sync::watch;
+use tokio::task::JoinSet;
+
+/// A client waits so long for a connection.
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
+/// The longest that a client stays before it leaves, ms.
+const LONGEST_STAY_MS: f64 = 80.0;
+/// A client that has ended its sending closes its connection after so long.
+const HALF_CLOSED: Duration = Duration::from_millis(500);
+/// Connections that rest at a proxy while its clients misbehave.
+const RESTING: usize = 60;
+/// So long they rest.
+const REST: Duration = Duration::from_secs(4);
+
+/// A client that left.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Departure {
+    /// The id of its request.
+    pub id: String,
+    /// When it had closed its connection.
+    pub closed: Time,
+}
+
+/// The id of a request of a run of clients.
+pub fn request_id(run: u32, number: u32) -> String {
+    format!("{run:08x}{number:08x}")
+}
+
+/// A request of one of the three classes, by a number.
+fn request(id: &str, number: u32) -> String {
+    let head = |method: &str, class: &str, more: &str, body: &str| {
+        format!(
+            "{method} /{class}/{number:x} HTTP/1.1\r\nHost: soak\r\nX-Correlation-Id: {id}\r\n\
+             X-Time-Left: 1.0\r\n{more}\r\n{body}"
+        )
+    };
+    match number % 3 {
+        0 => head("GET", "read", "", ""),
+        1 => head("POST", "pay", "Content-Length: 4\r\n", "cash"),
+        _ => head("POST", "vote", &format!("Idempotency-Key: k-{id}\r\nContent-Length: 3\r\n"), "yes"),
+    }
+}
+
+async fn connect(to: SocketAddr) -> io::Result<TcpStream> {
+    tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(to)).await?
+}
+
+/// Clients that leave, one after the other with pauses of this mean, until told to stop.
+pub async fn leave(
+    to: SocketAddr, clock: Clock, run: u32, pause_ms: f64, mut stop: watch::Receiver<bool>,
+) -> Vec<Departure> {
+    let mut dice = Dice::new(u64::from(run));
+    let mut clients = JoinSet::new();
+    let mut number = 0;
+    while !*stop.borrow() {
+        let pause = Duration::from_secs_f64(pause_ms / 1e3 * 2.0 * dice.part());
+        tokio::select! {
+            () = tokio::time::sleep(pause) => {}
+            _ = stop.changed() => break,
+        }
+        let stay = Duration::from_secs_f64(dice.part() * LONGEST_STAY_MS / 1e3);
+        clients.spawn(leave_once(to, clock, request_id(run, number), number, stay));
+        number += 1;
+    }
+    clients.join_all().await.into_iter().flatten().collect()
+}
+
+/// Sends a request, stays for a while, and leaves: by a close, a reset or an end of its sending, in turns.
+async fn leave_once(
+    to: SocketAddr, clock: Clock, id: String, number: u32, stay: Duration,
+) -> Option<Departure> {
+    let mut tcp = connect(to).await.ok()?;
+    tcp.write_all(request(&id, number).as_bytes()).await.ok()?;
+    tokio::time::sleep(stay).await;
+    match number / 3 % 3 {
+        0 => drop(tcp),
+        1 => {
+            let _ = socket2::SockRef::from(&tcp).set_linger(Some(Duration::ZERO)); // a close all the same
+            drop(tcp);
+        }
+        _ => {
+            let _ = tcp.shutdown().await; // the connection may be over already
+            let closed = clock.now();
+            tokio::time::sleep(HALF_CLOSED).await;
+            return Some(Departure { id, closed });
+        }
+    }
+    Some(Departure { id, closed: clock.now() })
+}
+
+/// Clients that misbehave at once: half of a head, half of a body, bytes that are no request, several requests in one
+/// write, and connections that rest.
+pub async fn misbehave(to: SocketAddr, run: u32) {
+    let several: String = (0..4).map(|n| request(&request_id(run, n), n)).collect();
+    let half_body = request(&request_id(run, 4), 1).replace("Content-Length: 4", "Content-Length: 400");
+    let texts = [
+        "GET /read/1 HTTP/1.1\r\nHost: so".to_string(),
+        half_body,
+        "\u{16}\u{3}\u{1} no request\r\n\r\n".to_string(),
+        several,
+    ];
+    let mut clients = JoinSet::new();
+    for text in texts.into_iter().chain((0..RESTING).map(|_| String::new())) {
+        clients.spawn(async move {
+            let mut tcp = connect(to).await?;
+            tcp.write_all(text.as_bytes()).await?;
+            tokio::time::sleep(REST).await;
+            io::Result::Ok(())
+        });
+    }
+    while clients.join_next().await.is_some() {}
+}
--- /dev/null
+++ b/crates/soak/src/control.rs
@@ -0,0 +1,87 @@
+//! The shared file by which the faults of a process's system calls are switched while it runs.
+
+use crate::call_faults::*;
+use std::ffi::OsString;
+use std::fs::File;
+use std::io;
+use std::os::unix::fs::FileExt;
+use std::path::{Path, PathBuf};
+use std::process::Command;
+
+/// The faults of one process, or of several that share it.
+#[derive(Debug)]
+pub struct FaultControl {
+    file: File,
+    path: PathBuf,
+}
+
+impl FaultControl {
+    /// A file in which nothing fails.
+    ///
+    /// # Errors
+    /// Those of the system calls.
+    pub fn create(path: &Path) -> io::Result<FaultControl> {
+        let file = File::options().read(true).write(true).create(true).truncate(true).open(path)?;
+        file.set_len(CONTROL_BYTES as u64)?;
+        Ok(FaultControl { file, path: path.into() })
+    }
+
+    /// Has a command's process run with the shim and this file. `folder`: whose files the faults of the disk meet.
+    pub fn preload(&self, command: &mut Command, shim: &Path, seed: u64, folder: Option<&Path>) {
+        command.envs(self.environment(shim, seed, folder));
+    }
+
+    /// The variables that do so.
+    pub fn environment(
+        &self, shim: &Path, seed: u64, folder: Option<&Path>,
+    ) -> Vec<(&'static str, OsString)> {
+        let mut variables = vec![
+            ("LD_PRELOAD", shim.into()),
+            (CONTROL_VARIABLE, self.path.clone().into()),
+            (SEED_VARIABLE, seed.to_string().into()),
+        ];
+        variables.extend(folder.map(|folder| (FOLDER_VARIABLE, folder.into())));
+        variables
+    }
+
+    /// From now on calls fail with that chance, 0 to 1.
+    ///
+    /// # Errors
+    /// Those of the write.
+    pub fn set(&self, fault: CallFault, chance: f64) -> io::Result<()> {
+        let parts = (chance.clamp(0.0, 1.0) * f64::from(RATE_ONE)) as u32;
+        self.file.write_all_at(&parts.to_le_bytes(), fault.rate_at() as u64)
+    }
+
+    /// No call fails any more; the wall clock stays as it is.
+    ///
+    /// # Errors
+    /// Those of the write.
+    pub fn clear(&self) -> io::Result<()> {
+        CallFault::ALL.into_iter().try_for_each(|fault| self.set(fault, 0.0))
+    }
+
+    /// How often calls failed so far.
+    ///
+    /// # Errors
+    /// Those of the read.
+    pub fn count(&self, fault: CallFault) -> io::Result<u32> {
+        let mut bytes = [0; 4];
+        self.file.read_exact_at(&mut bytes, fault.count_at() as u64)?;
+        Ok(u32::from_le_bytes(bytes))
+    }
+
+    /// The wall clock is so many seconds ahead of the true one, or behind.
+    ///
+    /// # Errors
+    /// Those of the write.
+    pub fn step_wall_clock(&self, seconds: i64) -> io::Result<()> {
+        self.file.write_all_at(&(seconds * 1000).to_le_bytes(), WALL_OFFSET_AT as u64)
+    }
+}
+
+impl Drop for FaultControl {
+    fn drop(&mut self) {
+        let _ = std::fs::remove_file(&self.path); // in a temporary folder, which goes with the run
+    }
+}
--- /dev/null
+++ b/crates/soak/src/oracle.rs
@@ -0,0 +1,405 @@
+//! The rules of routing, held against what clients, backends and discovery wrote down in a run. Pure.
+
+use crate::clients::Departure;
+use crate::proxies::*;
+use shaletide_base::{Micros, Time};
+use shaletide_testkit::{checks, End, Ledger, LoadResult, Record, Repeat};
+use std::collections::BTreeMap;
+
+/// What a busy machine adds to each measured time: the stand-ins run on the same cores as the proxies.
+const MACHINE_SLACK: Micros = Micros(100_000);
+/// What the platform adds to each time limit on sockets.
+const CLOCK_SLACK: Micros = Micros(50_000);
+/// An attempt for a client that has gone begins no later than this after the close.
+const CLIENT_GONE_SLACK: Micros = Micros(100_000);
+/// A proxy may be held up for so long between a look at its clock and a write.
+pub const HOLD_UP: Micros = Micros(150_000);
+/// After a link is as usual bytes may still be on their way for so long.
+const LATE_LINK_TAIL: Micros = Micros(500_000);
+/// The time that a backend is told may be over what the client has left by so much.
+const TIME_LEFT_SLACK: Micros = Micros(150_000);
+/// A change of the list's address counts as told so long after the signal.
+const MOVED: Micros = Micros(4_000_000);
+/// A new process is ready after this time.
+const READY: Micros = Micros(10_000_000);
+/// Cores that the machines of all backends have.
+pub const CORES: u32 = 2;
+/// The mean work of a request, ms.
+pub const MEAN_WORK_MS: f64 = 20.0;
+/// What the program's own check says where an answer is late: the clients measure that themselves.
+const OWN_CHECK_OF_TIME: &str = "answered and sent before its time is up";
+
+/// A rule.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+#[non_exhaustive]
+pub enum Rule {
+    /// Each request has its final answer in time.
+    Answered,
+    /// A sound request is not rejected as malformed.
+    NotRejected,
+    /// An unsafe request runs once.
+    UnsafeOnce,
+    /// A keyed one is repeated only in its group and window.
+    KeyedInside,
+    /// What was refused has not run.
+    HarmlessRefusal,
+    /// Nothing new to a backend later than the grace after its drain was told.
+    Drain,
+    /// A cold backend is not pushed over.
+    Cold,
+    /// What is answered as served was served by a backend.
+    TrueAnswer,
+    /// The time told to a backend is the client's.
+    TimeLeft,
+    /// Nothing begins for a client that has gone.
+    ClientGone,
+    /// No process ends by itself.
+    NoCrash,
+    /// A process is ready soon.
+    Ready,
+    /// A process ends in time after SIGTERM.
+    Stop,
+    /// The program's own check finds nothing.
+    SelfCheck,
+}
+
+/// A rule that was broken.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Violation {
+    /// Which.
+    pub rule: Rule,
+    /// By what, and how.
+    pub text: String,
+}
+
+/// What the clients of one process got.
+#[derive(Clone, Debug)]
+pub struct ClientRecords {
+    /// Its place in [`Evidence::lives`].
+    pub life: usize,
+    /// The ordinary load.
+    pub load: LoadResult,
+    /// Those that left, and the first half of their ids.
+    pub departures: (u32, Vec<Departure>),
+}
+
+/// A backend's time out of the list's service.
+#[derive(Clone, Copy, Debug)]
+pub struct Unlisted {
+    /// Its place in the ledger.
+    pub backend: usize,
+    /// When discovery was told.
+    pub from: Time,
+    /// When it was listed again.
+    pub until: Option<Time>,
+}
+
+/// A time in which bytes from a proxy to a backend are late on their way.
+#[derive(Clone, Copy, Debug)]
+pub struct LateLink {
+    /// Which proxy.
+    pub proxy: usize,
+    /// Which backend.
+    pub backend: usize,
+    /// From when on.
+    pub from: Time,
+    /// Until when.
+    pub until: Time,
+}
+
+/// All that was written down in a run.
+#[derive(Clone, Debug)]
+pub struct Evidence {
+    /// The backends' records.
+    pub ledger: Ledger,
+    /// All processes.
+    pub lives: Vec<Life>,
+    /// What the clients of each got.
+    pub clients: Vec<ClientRecords>,
+    /// Drains and removals.
+    pub unlisted: Vec<Unlisted>,
+    /// For each proxy, when discovery could not be reached.
+    pub unreachable: Vec<Vec<(Time, Time)>>,
+    /// For each proxy, when it was told that discovery has moved.
+    pub moves: Vec<Vec<Time>>,
+    /// What came to a backend over such a link says nothing of when it was sent.
+    pub late_links: Vec<LateLink>,
+    /// The lines of the logs that matter, with their files' names.
+    pub log_lines: Vec<String>,
+    /// Processes were held up.
+    pub held_up: bool,
+    /// The classes' deadline.
+    pub deadline: Micros,
+}
+
+/// What broke.
+pub fn judge(evidence: &Evidence) -> Vec<Violation> {
+    let mut broken = Vec::new();
+    evidence.processes(&mut broken);
+    evidence.answers(&mut broken);
+    evidence.repeats(&mut broken);
+    evidence.drains(&mut broken);
+    evidence.cold_starts(&mut broken);
+    evidence.times_told(&mut broken);
+    evidence.clients_gone(&mut broken);
+    broken
+}
+
+fn add(broken: &mut Vec<Violation>, rule: Rule, text: String) {
+    broken.push(Violation { rule, text });
+}
+
+/// A moment of the run's clock, in seconds.
+fn seconds(at: Time) -> f64 {
+    (at - Time(0)).secs()
+}
+
+/// The first half of an id, which tells whose clients sent it.
+fn run_of(id: &str) -> Option<u32> {
+    u32::from_str_radix(id.get(..8)?, 16).ok()
+}
+
+impl Evidence {
+    fn hold_up(&self) -> Micros {
+        if self.held_up {
+            HOLD_UP
+        } else {
+            Micros(0)
+        }
+    }
+
+    /// The process to which the clients with such ids were connected.
+    fn lives_by_run(&self) -> BTreeMap<u32, usize> {
+        let runs = self.clients.iter().flat_map(|c| [(c.load.run, c.life), (c.departures.0, c.life)]);
+        runs.collect()
+    }
+
+    /// Records that came when they were sent, with the process that sent each.
+    fn timely(&self) -> impl Iterator<Item = (&Record, usize)> {
+        let lives = self.lives_by_run();
+        self.ledger.records.iter().filter_map(move |record| {
+            let life = *lives.get(&run_of(&record.id)?)?;
+            let proxy = self.lives[life].proxy;
+            let is_late = |link: &LateLink| {
+                let here = link.proxy == proxy && link.backend == record.at_box;
+                here && record.came >= link.from && record.came <= link.until + LATE_LINK_TAIL
+            };
+            (!self.late_links.iter().any(is_late)).then_some((record, life))
+        })
+    }
+
+    fn processes(&self, broken: &mut Vec<Violation>) {
+        for life in &self.lives {
+            let name =
+                life.log.file_stem().map(|name| name.to_string_lossy().into_owned()).unwrap_or_default();
+            let is_on_purpose = life.stopped.is_some() || life.killed.is_some();
+            match life.ended {
+                Some((at, status)) if !is_on_purpose => {
+                    add(broken, Rule::NoCrash, format!("{name} ended at {:.3} s: {status}", seconds(at)));
+                }
+                // It ends with status 1 where its own check found something, which is counted there.
+                Some((_, status))
+                    if life.killed.is_none()
+                        && !life.outlived_its_stop
+                        && status.code().is_none_or(|code| code > 1) =>
+                {
+                    add(broken, Rule::NoCrash, format!("{name} ended its stop with {status}"));
+                }
+                _ => {}
+            }
+            if life.outlived_its_stop {
+                add(broken, Rule::Stop, format!("{name} was still there when SIGKILL was due"));
+            }
+            let end = life.stopped.or(life.killed).or(life.ended.map(|(at, _)| at));
+            let ready = life.ready.or(end).map(|at| at - life.started);
+            if ready.is_none_or(|after| after > READY) {
+                add(broken, Rule::Ready, format!("{name} was not ready: {ready:?}"));
+            }
+        }
+        for line in &self.log_lines {
+            if line.contains("panicked") {
+                add(broken, Rule::NoCrash, line.clone());
+            } else if line.contains("self-check:") && !line.contains(OWN_CHECK_OF_TIME) {
+                add(broken, Rule::SelfCheck, line.clone());
+            }
+        }
+    }
+
+    fn answers(&self, broken: &mut Vec<Violation>) {
+        for records in &self.clients {
+            let life = &self.lives[records.life];
+            for sent in &records.load.sent {
+                let over = sent.arrived + sent.latency;
+                let is_killed = life.killed.is_some_and(|killed| over >= killed);
+                let id = records.load.id(sent.number);
+                let text = || {
+                    let (from, to) = (seconds(sent.arrived), seconds(over));
+                    format!("{id} at p{} from {from:.3} to {to:.3} s: {:?}", life.proxy, sent.end)
+                };
+                match sent.end {
+                    End::Broken | End::GaveUp if !is_killed => add(broken, Rule::Answered, text()),
+                    End::Status(status) if (400..500).contains(&status) && status != 429 => {
+                        add(broken, Rule::NotRejected, text());
+                    }
+                    _ => {}
+                }
+            }
+            let made_up = checks::answers_come_from_boxes(&self.ledger, &records.load);
+            made_up.into_iter().for_each(|violation| add(broken, Rule::TrueAnswer, violation.what));
+            if records.load.mixed_up + records.load.overfull > 0 {
+                let (mixed, more) = (records.load.mixed_up, records.load.overfull);
+                let text = format!("p{}: {mixed} answers of others, {more} with more behind", life.proxy);
+                add(broken, Rule::TrueAnswer, text);
+            }
+        }
+    }
+
+    fn repeats(&self, broken: &mut Vec<Violation>) {
+        for violation in checks::unsafe_ran_once(&self.ledger) {
+            let text = violation.what + &self.described(&violation.records);
+            add(broken, Rule::UnsafeOnce, text);
+        }
+        let window = Micros(WINDOW_US + self.hold_up().0 + CLOCK_SLACK.0);
+        for violation in checks::keyed_ran_in_one_bay(&self.ledger, |_| window) {
+            let text = violation.what + &self.described(&violation.records);
+            add(broken, Rule::KeyedInside, text);
+        }
+        let mut ran: BTreeMap<&str, usize> = BTreeMap::new();
+        for (place, record) in self.ledger.records.iter().enumerate() {
+            if record.repeat == Repeat::Unsafe && record.ran() {
+                ran.insert(&record.id, place);
+            }
+        }
+        for records in &self.clients {
+            let refused = records.load.sent.iter().filter(|sent| matches!(sent.end, End::Status(429 | 503)));
+            for sent in refused {
+                let id = records.load.id(sent.number);
+                if let Some(place) = ran.get(id.as_str()) {
+                    let text = format!("{id} was refused and ran{}", self.described(&[*place]));
+                    add(broken, Rule::HarmlessRefusal, text);
+                }
+            }
+        }
+    }
+
+    fn described(&self, places: &[usize]) -> String {
+        let one = |place: &usize| {
+            let r = &self.ledger.records[*place];
+            let ended = r.ended.map(|(at, how)| (seconds(at), how));
+            format!("; {} at b{} {:.3} s, ended {ended:?}", r.id, r.at_box, seconds(r.began))
+        };
+        places.iter().map(one).collect()
+    }
+
+    /// When a change at that time was told to a process.
+    fn told(&self, life: &Life, at: Time) -> Time {
+        let mut told = at.max(life.started);
+        // Outages may overlap.
+        for _ in 0..self.unreachable[life.proxy].len() {
+            for (from, until) in &self.unreachable[life.proxy] {
+                if (*from..*until).contains(&told) {
+                    told = *until;
+                }
+            }
+        }
+        let moves = &self.moves[life.proxy];
+        let near = moves.iter().filter(|at| **at + MOVED > told && **at < told + Micros(DRAIN_GRACE_US));
+        near.map(|at| *at + MOVED).max().map_or(told, |moved| moved.max(told))
+    }
+
+    fn drains(&self, broken: &mut Vec<Violation>) {
+        let late = Micros(DRAIN_GRACE_US + CLOCK_SLACK.0 + MACHINE_SLACK.0 + self.hold_up().0);
+        for unlisted in &self.unlisted {
+            let here = |r: &Record| {
+                r.at_box == unlisted.backend
+                    && r.came > unlisted.from
+                    && unlisted.until.is_none_or(|until| r.came < until)
+            };
+            for (record, life) in self.timely().filter(|(record, _)| here(record)) {
+                let told = self.told(&self.lives[life], unlisted.from);
+                if record.came > told + late {
+                    let after = (record.came - told).secs();
+                    let text = format!(
+                        "{} came to b{} at {:.3} s, {after:.3} s after p{} was told",
+                        record.id,
+                        unlisted.backend,
+                        seconds(record.came),
+                        self.lives[life].proxy
+                    );
+                    add(broken, Rule::Drain, text);
+                }
+            }
+        }
+    }
+
+    /// What a cold backend may get in the window that began at that age.
+    pub fn cold_limit(age: Micros) -> f64 {
+        let warmth = COLD_FROM + (1.0 - COLD_FROM) * (age.secs() / Micros(RAMP_US).secs()).min(1.0);
+        let able = warmth * f64::from(CORES) * Micros(FALL_WINDOW_US).secs() / (MEAN_WORK_MS / 1e3);
+        let n = FALL_MULTIPLE * able;
+        if n < 30.0 {
+            n + 3.0 * n.sqrt() + 3.0
+        } else {
+            n + 2.0 * n.sqrt() + 2.0
+        }
+    }
+
+    fn cold_starts(&self, broken: &mut Vec<Violation>) {
+        let mut by_boot: BTreeMap<(usize, usize), Vec<Time>> = BTreeMap::new();
+        for record in &self.ledger.records {
+            by_boot.entry((record.at_box, record.boot)).or_default().push(record.began);
+        }
+        for ((at_box, boot), begun) in by_boot {
+            let booted = self.ledger.boxes[at_box].boots.get(boot).and_then(|boot| boot.at);
+            let Some(booted) = booted else { continue };
+            let window = Micros(FALL_WINDOW_US);
+            let mut first = 0;
+            for (at, time) in begun.iter().enumerate() {
+                while begun[first] + window < *time {
+                    first += 1;
+                }
+                let age = (*time - window) - booted; // as the window began; zero before the start
+                let (got, limit) = ((at - first + 1) as f64, Evidence::cold_limit(age));
+                if age < Micros(RAMP_US) && got > limit {
+                    let text = format!(
+                        "b{at_box} got {got} requests in 2 s up to {:.3} s after its start, may get {limit:.0}",
+                        (*time - booted).secs()
+                    );
+                    add(broken, Rule::Cold, text);
+                    break;
+                }
+            }
+        }
+    }
+
+    fn times_told(&self, broken: &mut Vec<Violation>) {
+        let mut deadlines: BTreeMap<String, Time> = BTreeMap::new();
+        for records in &self.clients {
+            for sent in &records.load.sent {
+                deadlines.insert(records.load.id(sent.number), sent.arrived + self.deadline);
+            }
+        }
+        for (record, _) in self.timely() {
+            let Some(deadline) = deadlines.get(&*record.id) else { continue };
+            let Some(left) = record.time_left else { continue };
+            let until = record.came + left;
+            if until > *deadline + TIME_LEFT_SLACK {
+                let over = (until - *deadline).secs();
+                add(broken, Rule::TimeLeft, format!("{} was told {over:.3} s too much", record.id));
+            }
+        }
+    }
+
+    fn clients_gone(&self, broken: &mut Vec<Violation>) {
+        let departures = self.clients.iter().flat_map(|records| &records.departures.1);
+        let closed: BTreeMap<&str, Time> = departures.map(|left| (left.id.as_str(), left.closed)).collect();
+        let slack = Micros(CLIENT_GONE_SLACK.0 + self.hold_up().0 + CLOCK_SLACK.0);
+        for (record, _) in self.timely() {
+            if let Some(closed) = closed.get(&*record.id).filter(|closed| record.came > **closed + slack) {
+                let after = (record.came - *closed).secs();
+                let text = format!("{} came {after:.3} s after its client had gone", record.id);
+                add(broken, Rule::ClientGone, text);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/soak/src/plan.rs
@@ -0,0 +1,341 @@
+//! What happens in a run and when, drawn from its seed. Pure.
+
+use crate::call_faults::CallFault;
+use shaletide_testkit::Dice;
+use std::time::Duration;
+
+/// The size of a run.
+#[derive(Clone, Copy, Debug)]
+pub struct Scale {
+    /// Processes of the program.
+    pub proxies: usize,
+    /// Backends.
+    pub backends: usize,
+    /// How long clients ask; what is open then is waited for.
+    pub length: Duration,
+    /// How many kinds of fault a seed draws.
+    pub faults: usize,
+}
+
+/// A kind of fault.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[non_exhaustive]
+pub enum FaultKind {
+    /// Proxies are told to end with SIGTERM and started anew.
+    Stop,
+    /// Proxies are killed and started anew.
+    Kill,
+    /// Proxies are told with SIGHUP that discovery has moved, some several times in a row.
+    Reload,
+    /// Discovery is silent, or ends its calls.
+    Discovery,
+    /// Single proxies are cut off from discovery.
+    DiscoveryLink,
+    /// Backends drain, are taken out of the list, and come back cold.
+    Drain,
+    /// Backends die without a word and come back cold.
+    Death,
+    /// Backends hang, fail, reset connections, are slow or close each connection.
+    Illness,
+    /// Links between single proxies and backends are cut or slow.
+    BackendLink,
+    /// System calls of all proxies fail.
+    Calls,
+    /// The proxies' wall clocks are stepped by up to an hour while they run.
+    WallClock,
+    /// Processes stand still for up to 0.15 s.
+    Freeze,
+    /// Clients send half of a request, or several at once, or rest in large numbers.
+    Clients,
+}
+
+impl FaultKind {
+    /// All of them.
+    pub const ALL: [FaultKind; 13] = [
+        FaultKind::Stop,
+        FaultKind::Kill,
+        FaultKind::Reload,
+        FaultKind::Discovery,
+        FaultKind::DiscoveryLink,
+        FaultKind::Drain,
+        FaultKind::Death,
+        FaultKind::Illness,
+        FaultKind::BackendLink,
+        FaultKind::Calls,
+        FaultKind::WallClock,
+        FaultKind::Freeze,
+        FaultKind::Clients,
+    ];
+}
+
+/// A backend's illness.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Illness {
+    /// A part of its requests is never answered.
+    Hangs(f64),
+    /// A part gets 500.
+    Fails(f64),
+    /// A part ends in a reset.
+    Resets(f64),
+    /// Work takes so many times as long.
+    Slow(f64),
+    /// Each connection ends after its answer.
+    Closes,
+}
+
+/// A single step of a run.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Step {
+    /// SIGTERM to a proxy, and a new process once it has ended.
+    Stop(usize),
+    /// SIGKILL to a proxy, and a new process at once.
+    Kill(usize),
+    /// SIGHUP to a proxy, to whose configuration discovery has moved.
+    Reload(usize),
+    /// SIGSTOP for so many milliseconds.
+    Freeze(usize, u64),
+    /// Discovery is silent.
+    DiscoverySilent,
+    /// Discovery ends all its calls.
+    DiscoveryBroken,
+    /// Discovery is as usual.
+    DiscoveryUp,
+    /// A proxy hears nothing of discovery.
+    DiscoveryCut(usize),
+    /// It does again.
+    DiscoveryHealed(usize),
+    /// A backend drains, in the list and by itself.
+    Drain(usize),
+    /// A backend that drains ends, and is taken out of the list.
+    Remove(usize),
+    /// A backend that has ended starts anew and is listed.
+    Return(usize),
+    /// A backend dies, and nobody says so.
+    Die(usize),
+    /// A backend falls ill.
+    Ill(usize, Illness),
+    /// It is well.
+    Well(usize),
+    /// The connections from a proxy to a backend are reset and refused.
+    LinkReset(usize, usize),
+    /// They are silent.
+    LinkSilent(usize, usize),
+    /// Bytes on them are late.
+    LinkSlow(usize, usize),
+    /// They are as usual.
+    LinkHealed(usize, usize),
+    /// Calls fail with that chance.
+    Call(CallFault, f64),
+    /// All wall clocks are so many seconds ahead.
+    WallClock(i64),
+    /// Clients of a proxy that misbehave.
+    BadClients(usize),
+}
+
+/// A step and when it is taken, from the beginning of the run.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Timed {
+    /// When.
+    pub at: Duration,
+    /// What.
+    pub step: Step,
+}
+
+/// What happens in a run.
+#[derive(Clone, Debug)]
+pub struct Plan {
+    /// The kinds of fault that were drawn.
+    pub kinds: Vec<FaultKind>,
+    /// Seconds that the proxies' wall clocks are ahead as the first processes start.
+    pub wall_clock_at_start: i64,
+    /// In the order of their times.
+    pub steps: Vec<Timed>,
+}
+
+/// The system calls' faults that a run draws from, with their highest chance.
+const CALLS: [(CallFault, f64); 11] = [
+    (CallFault::ShortRead, 0.5),
+    (CallFault::ShortWrite, 0.5),
+    (CallFault::InterruptedRead, 0.2),
+    (CallFault::InterruptedWrite, 0.2),
+    (CallFault::InterruptedWait, 0.3),
+    (CallFault::Accept, 0.3),
+    (CallFault::Socket, 0.3),
+    (CallFault::Connect, 0.3),
+    (CallFault::BrokenUpstream, 0.02),
+    (CallFault::SocketOption, 0.3),
+    (CallFault::SlowWrite, 0.002),
+];
+
+/// An hour, by which wall clocks are stepped.
+const HOUR_S: i64 = 3600;
+
+impl Plan {
+    /// The plan of a seed. `only`: kinds that it is to have, in place of drawn ones.
+    pub fn draw(seed: u64, scale: &Scale, only: &[FaultKind]) -> Plan {
+        let mut drawing = Drawing { dice: Dice::of(seed, "plan"), scale: *scale, steps: Vec::new() };
+        let kinds = if only.is_empty() { drawing.kinds() } else { only.to_vec() };
+        let steps_clock = kinds.contains(&FaultKind::WallClock);
+        let wall_clock_at_start = if steps_clock { HOUR_S * (drawing.below(3) as i64 - 1) } else { 0 };
+        kinds.iter().for_each(|kind| drawing.fault(*kind));
+        let mut steps = drawing.steps;
+        steps.sort_by_key(|timed| timed.at);
+        Plan { kinds, wall_clock_at_start, steps }
+    }
+}
+
+struct Drawing {
+    dice: Dice,
+    scale: Scale,
+    steps: Vec<Timed>,
+}
+
+impl Drawing {
+    fn below(&mut self, bound: usize) -> usize {
+        (self.dice.word() % bound.max(1) as u64) as usize
+    }
+
+    fn between(&mut self, from: f64, to: f64) -> f64 {
+        from + (to - from) * self.dice.part()
+    }
+
+    /// A time in the middle of the run: faults meet there.
+    fn time(&mut self) -> f64 {
+        let length = self.scale.length.as_secs_f64();
+        self.between(0.1 * length, 0.7 * length)
+    }
+
+    fn add(&mut self, at: f64, step: Step) {
+        self.steps.push(Timed { at: Duration::from_secs_f64(at.max(0.0)), step });
+    }
+
+    fn kinds(&mut self) -> Vec<FaultKind> {
+        let mut left = FaultKind::ALL.to_vec();
+        let count = self.scale.faults.min(left.len());
+        (0..count).map(|_| left.swap_remove(self.below(left.len()))).collect()
+    }
+
+    /// So many different numbers below a bound, at least one.
+    fn some(&mut self, bound: usize, part: f64) -> Vec<usize> {
+        let mut left: Vec<usize> = (0..bound).collect();
+        let count = ((bound as f64 * part) as usize).clamp(1, bound);
+        (0..count).map(|_| left.swap_remove(self.below(left.len()))).collect()
+    }
+
+    fn fault(&mut self, kind: FaultKind) {
+        let (proxies, backends) = (self.scale.proxies, self.scale.backends);
+        let length = self.scale.length.as_secs_f64();
+        match kind {
+            FaultKind::Stop => {
+                let mut at = self.time();
+                for proxy in self.some(proxies, 0.5) {
+                    self.add(at, Step::Stop(proxy));
+                    at += self.between(0.0, 0.4);
+                }
+            }
+            FaultKind::Kill => {
+                let at = self.time();
+                for proxy in self.some(proxies, 0.4) {
+                    let delay = self.between(0.0, 0.3);
+                    self.add(at + delay, Step::Kill(proxy));
+                }
+            }
+            FaultKind::Reload => {
+                for proxy in self.some(proxies, 0.7) {
+                    let mut at = self.time();
+                    for _ in 0..1 + self.below(3) {
+                        self.add(at, Step::Reload(proxy));
+                        at += self.between(0.0, 0.6);
+                    }
+                }
+            }
+            FaultKind::Discovery => {
+                let (at, is_silent) = (self.time(), self.dice.chance(0.7));
+                self.add(at, if is_silent { Step::DiscoverySilent } else { Step::DiscoveryBroken });
+                let over = self.between(0.5, 0.3 * length);
+                self.add(at + over, Step::DiscoveryUp);
+            }
+            FaultKind::DiscoveryLink => {
+                for proxy in self.some(proxies, 0.4) {
+                    let at = self.time();
+                    self.add(at, Step::DiscoveryCut(proxy));
+                    let over = self.between(0.3, 0.3 * length);
+                    self.add(at + over, Step::DiscoveryHealed(proxy));
+                }
+            }
+            FaultKind::Drain => {
+                for backend in self.some(backends, 0.3) {
+                    let at = self.time();
+                    self.add(at, Step::Drain(backend));
+                    let gone = at + self.between(2.5, 3.5);
+                    self.add(gone, Step::Remove(backend));
+                    let back = gone + self.between(0.1, 1.0);
+                    self.add(back, Step::Return(backend));
+                }
+            }
+            FaultKind::Death => {
+                for backend in self.some(backends, 0.2) {
+                    let at = self.time();
+                    self.add(at, Step::Die(backend));
+                    let back = at + self.between(0.2, 2.0);
+                    self.add(back, Step::Return(backend));
+                }
+            }
+            FaultKind::Illness => {
+                for backend in self.some(backends, 0.4) {
+                    let (at, illness) = (self.time(), self.illness());
+                    self.add(at, Step::Ill(backend, illness));
+                    let over = self.between(0.5, 0.4 * length);
+                    self.add(at + over, Step::Well(backend));
+                }
+            }
+            FaultKind::BackendLink => {
+                for proxy in self.some(proxies, 0.5) {
+                    let (backend, at) = (self.below(backends), self.time());
+                    let steps = [Step::LinkReset, Step::LinkSilent, Step::LinkSlow];
+                    let step = steps[self.below(steps.len())](proxy, backend);
+                    self.add(at, step);
+                    let over = self.between(0.2, 0.3 * length);
+                    self.add(at + over, Step::LinkHealed(proxy, backend));
+                }
+            }
+            FaultKind::Calls => {
+                for _ in 0..2 + self.below(3) {
+                    let (fault, most) = CALLS[self.below(CALLS.len())];
+                    let (at, chance) = (self.time(), self.between(0.1, 1.0) * most);
+                    self.add(at, Step::Call(fault, chance));
+                    let over = self.between(1.0, 0.5 * length);
+                    self.add(at + over, Step::Call(fault, 0.0));
+                }
+            }
+            FaultKind::WallClock => {
+                for _ in 0..3 {
+                    let (at, hours) = (self.time(), self.below(3) as i64 - 1);
+                    self.add(at, Step::WallClock(HOUR_S * hours));
+                }
+            }
+            FaultKind::Freeze => {
+                for proxy in self.some(proxies, 0.6) {
+                    let (at, millis) = (self.time(), 20 + self.below(130) as u64);
+                    self.add(at, Step::Freeze(proxy, millis));
+                }
+            }
+            FaultKind::Clients => {
+                for proxy in self.some(proxies, 0.6) {
+                    let at = self.time();
+                    self.add(at, Step::BadClients(proxy));
+                }
+            }
+        }
+    }
+
+    fn illness(&mut self) -> Illness {
+        match self.below(5) {
+            0 => Illness::Hangs(self.between(0.2, 1.0)),
+            1 => Illness::Fails(self.between(0.2, 1.0)),
+            2 => Illness::Resets(self.between(0.1, 1.0)),
+            3 => Illness::Slow(self.between(2.0, 10.0)),
+            _ => Illness::Closes,
+        }
+    }
+}
--- /dev/null
+++ b/crates/soak/src/run.rs
@@ -0,0 +1,561 @@
+//! Carries a plan out: starts all parts, takes its steps in time, and collects what was written down.
+
+use crate::artifacts::Artifacts;
+use crate::call_faults::CallFault;
+use crate::clients::{leave, misbehave, Departure};
+use crate::control::FaultControl;
+use crate::oracle::{judge, ClientRecords, Evidence, LateLink, Unlisted, Violation, CORES, MEAN_WORK_MS};
+use crate::plan::{FaultKind, Illness, Plan, Scale, Step};
+use crate::proxies::*;
+use shaletide_base::{Effect, KeyScope, Micros, Time};
+use shaletide_lab::links::{Cut, Direction, Fault as LinkFault, Link, Links};
+use shaletide_testkit::*;
+use std::io;
+use std::net::{IpAddr, Ipv4Addr};
+use std::path::PathBuf;
+use std::process::{Child, ExitStatus};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+use tokio::sync::{mpsc, watch};
+
+/// Requests a second of the ordinary load at each proxy.
+const RATE_PER_S: f64 = 40.0;
+/// The mean pause between two clients of a proxy that leave, ms.
+const LEAVE_PAUSE_MS: f64 = 60.0;
+/// Backends of one bay share the keys that they have seen.
+const BAY: usize = 3;
+/// The front sends a proxy new connections for so long after SIGTERM.
+const STOP_NOTICE: Duration = Duration::from_millis(300);
+/// SIGKILL comes so long after SIGTERM and the longest deadline.
+const KILL_AFTER: Duration = Duration::from_millis(700);
+/// A client waits so long after its deadline for an answer that comes late.
+const PATIENCE_AFTER_DEADLINE: Duration = Duration::from_millis(500);
+/// A process that is not ready after so long is taken to be stuck.
+const START_PATIENCE: Duration = Duration::from_secs(15);
+/// How often a process is looked at.
+const LOOK: Duration = Duration::from_millis(10);
+/// On a link that is slow bytes are late by so many ms.
+const SLOW_LINK_MS: (f64, f64) = (20.0, 300.0);
+
+/// What came of a run.
+#[derive(Debug)]
+pub struct Report {
+    /// Its seed.
+    pub seed: u64,
+    /// The kinds of fault.
+    pub kinds: Vec<FaultKind>,
+    /// What broke.
+    pub violations: Vec<Violation>,
+    /// Processes that were started.
+    pub processes: usize,
+    /// Requests of the ordinary load, how many were served, and how many clients left.
+    pub requests: usize,
+    /// Of these, served.
+    pub served: usize,
+    /// Clients that left.
+    pub departures: usize,
+    /// System calls that failed, by kind.
+    pub calls: Vec<(CallFault, u32)>,
+    /// Where configurations and logs are: kept where something broke.
+    pub folder: PathBuf,
+}
+
+/// What a proxy's task is told.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Order {
+    Stop,
+    Kill,
+}
+
+/// All parts of a run.
+struct World {
+    artifacts: Artifacts,
+    control: FaultControl,
+    folder: PathBuf,
+    clock: Clock,
+    seed: u64,
+    scale: Scale,
+    slots: Vec<ProxySlot>,
+    fleet: Fleet,
+    discovery: ListServer,
+    discovery_links: Vec<[Link; 2]>,
+    /// By proxy and backend; empty where the plan has no faults there.
+    backend_links: Vec<Vec<Link>>,
+    _links: Links,
+    notes: Mutex<Notes>,
+}
+
+/// What the run itself writes down.
+#[derive(Default)]
+struct Notes {
+    lives: Vec<Life>,
+    clients: Vec<ClientRecords>,
+    unlisted: Vec<Unlisted>,
+    unreachable: Vec<Vec<(Time, Time)>>,
+    moves: Vec<Vec<Time>>,
+    late_links: Vec<LateLink>,
+    runs: u32,
+}
+
+fn class(name: &str, effect: Effect, body: usize) -> LoadClass {
+    let deadline = Duration::from_micros(LONGEST_DEADLINE_US);
+    let headers = vec![("X-Account".into(), "north".into())];
+    LoadClass { body, headers, ..LoadClass::new(name, effect, deadline) }
+}
+
+fn classes() -> Vec<LoadClass> {
+    let keyed = Effect::Keyed(KeyScope::Cell, Micros(WINDOW_US));
+    vec![class("read", Effect::Free, 0), class("pay", Effect::Unsafe, 40), class("vote", keyed, 20)]
+}
+
+fn backend(place: usize) -> BoxSpec {
+    let power = Power { cores: CORES, speed: 1.0, cold_from: COLD_FROM, ramp: Micros(RAMP_US) };
+    BoxSpec {
+        bay: 1 + (place / BAY) as u64,
+        idle: Duration::from_secs(10),
+        ..BoxSpec::new(&format!("b{place}"), power)
+    }
+}
+
+/// Plays a seed. `only`: the kinds of fault that it is to have, in place of drawn ones.
+///
+/// # Errors
+/// The stand-ins could not be set up, or a process not be started.
+pub fn play(seed: u64, scale: &Scale, only: &[FaultKind], artifacts: &Artifacts) -> io::Result<Report> {
+    let plan = Plan::draw(seed, scale, only);
+    let runtime = tokio::runtime::Builder::new_multi_thread().worker_threads(3).enable_all().build()?;
+    let world = Arc::new(World::new(seed, scale, &plan, artifacts)?);
+    let evidence = runtime.block_on(world.clone().run(&plan))?;
+    let violations = judge(&evidence);
+    if violations.is_empty() {
+        let _ = std::fs::remove_dir_all(&world.folder); // a temporary folder
+    }
+    let sent = || evidence.clients.iter().flat_map(|records| &records.load.sent);
+    let counts = CallFault::ALL.map(|fault| (fault, world.control.count(fault).unwrap_or_default()));
+    Ok(Report {
+        seed,
+        kinds: plan.kinds,
+        violations,
+        processes: evidence.lives.len(),
+        requests: sent().count(),
+        served: sent().filter(|sent| sent.end == End::Status(200)).count(),
+        departures: evidence.clients.iter().map(|records| records.departures.1.len()).sum(),
+        calls: counts.into_iter().filter(|(_, count)| *count > 0).collect(),
+        folder: world.folder.clone(),
+    })
+}
+
+impl World {
+    fn new(seed: u64, scale: &Scale, plan: &Plan, artifacts: &Artifacts) -> io::Result<World> {
+        let folder = std::env::temp_dir().join(format!("shaletide-soak-{}-{seed}", std::process::id()));
+        std::fs::create_dir_all(&folder)?;
+        let control = FaultControl::create(&folder.join("faults"))?;
+        control.step_wall_clock(plan.wall_clock_at_start)?;
+        let boxes = (0..scale.backends).map(backend).collect();
+        let services = vec![Service::new("", Law::Exponential(MEAN_WORK_MS))];
+        let fleet = Fleet::with(FleetSpec { services, seed, ..FleetSpec::new(boxes) })?;
+        let clock = fleet.clock();
+        let links = Links::start_with(clock, seed, 2)?;
+        let here = IpAddr::V4(Ipv4Addr::LOCALHOST);
+        let mut backend_links = Vec::new();
+        if plan.kinds.contains(&FaultKind::BackendLink) {
+            for proxy in 0..scale.proxies {
+                let lay = |b: &BoxHandle| {
+                    let far = &b.spec.name;
+                    links.tcp(&format!("p{proxy}-{far}"), [&format!("p{proxy}"), far], here, b.address)
+                };
+                backend_links.push(fleet.boxes().iter().map(lay).collect::<io::Result<Vec<Link>>>()?);
+            }
+        }
+        let names = || fleet.boxes().iter().map(|b| b.spec.name.clone());
+        let view = |links: &Vec<Link>| names().zip(links.iter().map(Link::address)).collect();
+        let views: Vec<View> = backend_links.iter().map(view).collect();
+        let entries: Vec<Entry> = fleet.boxes().iter().map(BoxHandle::entry).collect();
+        let watchers: Vec<String> = (0..scale.proxies).map(|proxy| format!("p{proxy}")).collect();
+        let watchers: Vec<&str> = watchers.iter().map(String::as_str).collect();
+        let discovery = ListServer::with_views(clock, &watchers, entries.clone(), views.clone())?;
+        let (mut slots, mut discovery_links) = (Vec::new(), Vec::new());
+        for proxy in 0..scale.proxies {
+            let near = format!("p{proxy}");
+            let lay = |name: &str| links.tcp(name, [&near, "discovery"], here, discovery.address(proxy));
+            let pair = [lay(&format!("{near}-list-a"))?, lay(&format!("{near}-list-b"))?];
+            let known = entries.iter().map(|entry| {
+                let address = views.get(proxy).and_then(|view| view.get(&entry.name));
+                let seen = Entry { address: address.copied().unwrap_or(entry.address), ..entry.clone() };
+                serde_json::from_str::<serde_json::Value>(&seen.text()).unwrap_or_default()
+            });
+            slots.push(ProxySlot::new(proxy, &folder, [0, 1].map(|n| pair[n].address()), known.collect()));
+            discovery_links.push(pair);
+        }
+        let notes = Notes {
+            unreachable: vec![Vec::new(); scale.proxies],
+            moves: vec![Vec::new(); scale.proxies],
+            ..Notes::default()
+        };
+        Ok(World {
+            artifacts: artifacts.clone(),
+            control,
+            folder,
+            clock,
+            seed,
+            scale: *scale,
+            slots,
+            fleet,
+            discovery,
+            discovery_links,
+            backend_links,
+            _links: links,
+            notes: Mutex::new(notes),
+        })
+    }
+
+    fn notes(&self) -> MutexGuard<'_, Notes> {
+        self.notes.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn setting(&self) -> Setting<'_> {
+        Setting {
+            artifacts: &self.artifacts,
+            control: &self.control,
+            folder: &self.folder,
+            clock: self.clock,
+            proxies: self.scale.proxies,
+            seed: self.seed,
+        }
+    }
+
+    async fn run(self: Arc<World>, plan: &Plan) -> io::Result<Evidence> {
+        let end = Time(self.clock.now().0 + self.scale.length.as_micros() as u64);
+        let begun = tokio::time::Instant::now();
+        let mut orders = Vec::new();
+        let mut proxies = Vec::new();
+        for place in 0..self.scale.proxies {
+            let (order, ordered) = mpsc::channel(8);
+            orders.push(order);
+            proxies.push(tokio::spawn(self.clone().proxy(place, end, ordered)));
+        }
+        for timed in &plan.steps {
+            tokio::time::sleep_until(begun + timed.at).await;
+            self.take(timed.step, &orders)?;
+        }
+        tokio::time::sleep_until(begun + self.scale.length).await;
+        self.heal()?;
+        drop(orders);
+        for proxy in proxies {
+            proxy.await.map_err(io::Error::other)??;
+        }
+        let held_up = plan
+            .steps
+            .iter()
+            .any(|timed| matches!(timed.step, Step::Freeze(..) | Step::Call(CallFault::SlowWrite, _)));
+        Ok(self.evidence(held_up))
+    }
+
+    fn evidence(&self, held_up: bool) -> Evidence {
+        let notes = std::mem::take(&mut *self.notes());
+        let Notes { lives, clients, unlisted, mut unreachable, moves, mut late_links, .. } = notes;
+        let open = Time(u64::MAX);
+        let now = self.clock.now();
+        unreachable.iter_mut().flatten().filter(|span| span.1 == open).for_each(|span| span.1 = now);
+        late_links.iter_mut().filter(|link| link.until == open).for_each(|link| link.until = now);
+        let mut log_lines = Vec::new();
+        for life in &lives {
+            let text = std::fs::read(&life.log).unwrap_or_default();
+            let text = String::from_utf8_lossy(&text);
+            let name = life.log.file_stem().unwrap_or_default().to_string_lossy();
+            let matters =
+                text.lines().filter(|line| line.contains("self-check:") || line.contains("panicked"));
+            log_lines.extend(matters.map(|line| format!("{name}: {line}")));
+        }
+        Evidence {
+            ledger: self.fleet.ledger(),
+            lives,
+            clients,
+            unlisted,
+            unreachable,
+            moves,
+            late_links,
+            log_lines,
+            held_up,
+            deadline: Micros(LONGEST_DEADLINE_US),
+        }
+    }
+
+    /// Everything is as usual again, so that what is owed can be answered.
+    fn heal(&self) -> io::Result<()> {
+        self.control.clear()?;
+        self.discovery.serve(ListService::Up);
+        let clean = |link: &Link| link.set(Direction::Both, LinkFault::default()).map_err(io::Error::other);
+        self.discovery_links.iter().flatten().try_for_each(clean)?;
+        for link in self.backend_links.iter().flatten() {
+            clean(link)?;
+            link.refuse(false);
+        }
+        self.reached_again(0..self.scale.proxies);
+        Ok(())
+    }
+
+    fn unreached(&self, proxies: impl Iterator<Item = usize>) {
+        let now = self.clock.now();
+        let mut notes = self.notes();
+        proxies.for_each(|proxy| notes.unreachable[proxy].push((now, Time(u64::MAX))));
+    }
+
+    fn reached_again(&self, proxies: impl Iterator<Item = usize>) {
+        let now = self.clock.now();
+        let mut notes = self.notes();
+        for proxy in proxies {
+            let spans = notes.unreachable[proxy].iter_mut();
+            spans.filter(|span| span.1 == Time(u64::MAX)).for_each(|span| span.1 = now);
+        }
+    }
+
+    fn take(self: &Arc<World>, step: Step, orders: &[mpsc::Sender<Order>]) -> io::Result<()> {
+        let all = 0..self.scale.proxies;
+        match step {
+            // A proxy that has several orders waiting has enough to do.
+            Step::Stop(proxy) => drop(orders[proxy].try_send(Order::Stop)),
+            Step::Kill(proxy) => drop(orders[proxy].try_send(Order::Kill)),
+            Step::Reload(proxy) => {
+                let now = self.clock.now();
+                self.notes().moves[proxy].push(now);
+                self.slots[proxy].move_discovery(&self.setting())?;
+            }
+            Step::Freeze(proxy, millis) => {
+                let world = self.clone();
+                tokio::spawn(async move {
+                    world.slots[proxy].signal("STOP");
+                    tokio::time::sleep(Duration::from_millis(millis)).await;
+                    world.slots[proxy].signal("CONT");
+                });
+            }
+            Step::DiscoverySilent | Step::DiscoveryBroken => {
+                let is_silent = step == Step::DiscoverySilent;
+                self.unreached(all);
+                self.discovery.serve(if is_silent { ListService::Silent } else { ListService::Broken });
+            }
+            Step::DiscoveryUp => {
+                self.discovery.serve(ListService::Up);
+                self.reached_again(all);
+            }
+            Step::DiscoveryCut(proxy) => {
+                self.unreached(proxy..=proxy);
+                self.set_discovery_links(proxy, LinkFault::cut(Cut::Silent))?;
+            }
+            Step::DiscoveryHealed(proxy) => {
+                self.set_discovery_links(proxy, LinkFault::default())?;
+                self.reached_again(proxy..=proxy);
+            }
+            Step::Drain(backend) => {
+                let from = self.clock.now();
+                self.discovery.drain(&format!("b{backend}"));
+                self.notes().unlisted.push(Unlisted { backend, from, until: None });
+                self.fleet.boxes()[backend].drain();
+            }
+            Step::Remove(backend) => {
+                self.discovery.delete(&format!("b{backend}"));
+                self.fleet.boxes()[backend].kill();
+            }
+            Step::Return(backend) => {
+                let handle = &self.fleet.boxes()[backend];
+                handle.revive();
+                let now = self.clock.now();
+                self.discovery.put(handle.entry());
+                let mut notes = self.notes();
+                let open = notes.unlisted.iter_mut().filter(|u| u.backend == backend && u.until.is_none());
+                open.for_each(|unlisted| unlisted.until = Some(now));
+            }
+            Step::Die(backend) => drop(self.fleet.boxes()[backend].kill()),
+            Step::Ill(backend, illness) => {
+                let fault = match illness {
+                    Illness::Hangs(part) => Fault::Hang(part),
+                    Illness::Fails(part) => Fault::Fail(part),
+                    Illness::Resets(part) => Fault::Reset(part),
+                    Illness::Slow(times) => Fault::Slow(times),
+                    Illness::Closes => Fault::Close(false),
+                };
+                self.fleet.boxes()[backend].set(fault);
+            }
+            Step::Well(backend) => {
+                let handle = &self.fleet.boxes()[backend];
+                for fault in
+                    [Fault::Hang(0.0), Fault::Fail(0.0), Fault::Reset(0.0), Fault::Slow(1.0), Fault::Keep]
+                {
+                    handle.set(fault);
+                }
+            }
+            Step::LinkReset(proxy, backend) => {
+                let link = &self.backend_links[proxy][backend];
+                link.refuse(true);
+                link.set(Direction::Both, LinkFault::cut(Cut::Reset)).map_err(io::Error::other)?;
+            }
+            Step::LinkSilent(proxy, backend) => {
+                self.late_from_now(proxy, backend);
+                let fault = LinkFault::cut(Cut::Silent);
+                self.backend_links[proxy][backend].set(Direction::Both, fault).map_err(io::Error::other)?;
+            }
+            Step::LinkSlow(proxy, backend) => {
+                self.late_from_now(proxy, backend);
+                let fault = LinkFault::delay_ms(Law::Even(SLOW_LINK_MS.0, SLOW_LINK_MS.1));
+                self.backend_links[proxy][backend].set(Direction::Both, fault).map_err(io::Error::other)?;
+            }
+            Step::LinkHealed(proxy, backend) => {
+                let link = &self.backend_links[proxy][backend];
+                link.set(Direction::Both, LinkFault::default()).map_err(io::Error::other)?;
+                link.refuse(false);
+                let now = self.clock.now();
+                let mut notes = self.notes();
+                let late = notes.late_links.iter_mut();
+                let here = late.filter(|link| (link.proxy, link.backend) == (proxy, backend));
+                here.filter(|link| link.until > now).for_each(|link| link.until = now);
+            }
+            Step::Call(fault, chance) => self.control.set(fault, chance)?,
+            Step::WallClock(seconds) => self.control.step_wall_clock(seconds)?,
+            Step::BadClients(proxy) => {
+                let (to, run) = (self.slots[proxy].address(), self.next_run());
+                tokio::spawn(misbehave(to, run));
+            }
+        }
+        Ok(())
+    }
+
+    fn late_from_now(&self, proxy: usize, backend: usize) {
+        let (from, until) = (self.clock.now(), Time(u64::MAX));
+        self.notes().late_links.push(LateLink { proxy, backend, from, until });
+    }
+
+    fn set_discovery_links(&self, proxy: usize, fault: LinkFault) -> io::Result<()> {
+        let mut links = self.discovery_links[proxy].iter();
+        links.try_for_each(|link| link.set(Direction::Both, fault)).map_err(io::Error::other)
+    }
+
+    /// A number for the ids of a group of clients that no other has.
+    fn next_run(&self) -> u32 {
+        let mut notes = self.notes();
+        notes.runs += 1;
+        0xc000_0000 + notes.runs
+    }
+
+    /// A proxy through all its processes, with its clients.
+    async fn proxy(
+        self: Arc<World>, place: usize, end: Time, mut orders: mpsc::Receiver<Order>,
+    ) -> io::Result<()> {
+        loop {
+            let (mut child, mut life) = self.slots[place].start(&self.setting())?;
+            let to = self.slots[place].address();
+            life.ready = self.ready(&mut child, to).await;
+            let clients = Clients::start(&self, place, end);
+            let order = tokio::select! {
+                order = orders.recv() => order.map_or(Some(Order::Stop), Some),
+                () = ended(&mut child) => None,
+            };
+            let is_last = orders.is_closed() && orders.is_empty();
+            let exit = match order {
+                None => child.wait()?,
+                Some(Order::Kill) => {
+                    life.killed = Some(self.clock.now());
+                    child.kill()?;
+                    child.wait()?
+                }
+                Some(Order::Stop) => self.stop(&mut child, &mut life, &clients).await?,
+            };
+            life.ended = Some((self.clock.now(), exit));
+            self.slots[place].ended();
+            let records = clients.end().await;
+            let mut notes = self.notes();
+            notes.lives.push(life);
+            let life = notes.lives.len() - 1;
+            notes.clients.extend(records.map(|(load, departures)| ClientRecords { life, load, departures }));
+            drop(notes);
+            if is_last || self.clock.now() >= end {
+                return Ok(());
+            }
+        }
+    }
+
+    /// Tells a process to end as the platform does, and waits for that.
+    async fn stop(&self, child: &mut Child, life: &mut Life, clients: &Clients) -> io::Result<ExitStatus> {
+        life.stopped = Some(self.clock.now());
+        self.slots[life.proxy].signal("TERM");
+        let due = tokio::time::Instant::now() + Duration::from_micros(LONGEST_DEADLINE_US) + KILL_AFTER;
+        let notice = async {
+            tokio::time::sleep(STOP_NOTICE).await;
+            clients.stop.send_replace(true);
+            std::future::pending::<()>().await;
+        };
+        tokio::select! {
+            () = ended(child) => {}
+            () = notice => {}
+            () = tokio::time::sleep_until(due) => {
+                life.outlived_its_stop = true;
+                child.kill()?;
+            }
+        }
+        clients.stop.send_replace(true);
+        child.wait()
+    }
+
+    /// When a process says that it is ready; none where it ends or takes too long.
+    async fn ready(&self, child: &mut Child, to: std::net::SocketAddr) -> Option<Time> {
+        let by = tokio::time::Instant::now() + START_PATIENCE;
+        let probe = "GET /-/ready HTTP/1.1\r\nHost: soak\r\nConnection: close\r\n\r\n";
+        while tokio::time::Instant::now() < by && matches!(child.try_wait(), Ok(None)) {
+            if let Ok(mut link) = Kept::open(to, by).await {
+                let soon = tokio::time::Instant::now() + Duration::from_secs(1);
+                let exchange = link.ask(probe.as_bytes(), "GET", soon).await;
+                if matches!(exchange, Exchange::Answer(ref answer) if answer.status() == 200) {
+                    return Some(self.clock.now());
+                }
+            }
+            tokio::time::sleep(LOOK).await;
+        }
+        None
+    }
+}
+
+/// Until the process has ended.
+async fn ended(child: &mut Child) {
+    while matches!(child.try_wait(), Ok(None)) {
+        tokio::time::sleep(LOOK).await;
+    }
+}
+
+/// The clients of one process.
+struct Clients {
+    stop: watch::Sender<bool>,
+    load: tokio::task::JoinHandle<LoadResult>,
+    leaving: tokio::task::JoinHandle<Vec<Departure>>,
+    leaving_run: u32,
+}
+
+impl Clients {
+    fn start(world: &Arc<World>, place: usize, end: Time) -> Clients {
+        let (stop, stopped) = watch::channel(false);
+        let (to, clock) = (world.slots[place].address(), world.clock);
+        let left = Duration::from_micros((end - clock.now()).0);
+        let leaving_run = world.next_run();
+        let load = Load {
+            seed: world.seed.wrapping_mul(7919) + u64::from(leaving_run),
+            clock,
+            patience: PATIENCE_AFTER_DEADLINE,
+            ..Load::new(RATE_PER_S, classes(), left)
+        };
+        let mut told = stopped.clone();
+        let stop_load = async move {
+            let _ = told.wait_for(|stop| *stop).await; // or the run has ended
+        };
+        let load = tokio::spawn(async move { load.run_until(to, stop_load).await });
+        let leaving = tokio::spawn(async move {
+            let leaving = leave(to, clock, leaving_run, LEAVE_PAUSE_MS, stopped);
+            leaving.await
+        });
+        Clients { stop, load, leaving, leaving_run }
+    }
+
+    /// Waits for what is open, and returns what the clients got.
+    async fn end(self) -> Option<(LoadResult, (u32, Vec<Departure>))> {
+        self.stop.send_replace(true);
+        let (load, departures) = (self.load.await.ok()?, self.leaving.await.ok()?);
+        Some((load, (self.leaving_run, departures)))
+    }
+}
--- a/crates/testkit/src/checks.rs
+++ b/crates/testkit/src/checks.rs
@@ -179,6 +179,7 @@
             ended: None,
             draining: None,
             work_ms: 100.0,
+            time_left: None,
         };
         let place = ledger.begin(record).expect("room");
         ledger.end(place, at, how);
--- a/crates/testkit/src/fleet/stand.rs
+++ b/crates/testkit/src/fleet/stand.rs
@@ -141,6 +141,7 @@
             ended: None,
             draining: state.draining,
             work_ms: demand.work_ms,
+            time_left: time_left(request).map(Micros::from_secs),
         };
         let place = self.shared.write(|book| {
             book.stats[self.place].requests += 1;
@@ -292,8 +293,7 @@
         if self.draining.is_some_and(|since| now > since + grace) {
             return Some(Decision::TurnAway(503));
         }
-        let left = request.header("x-time-left").and_then(|left| left.parse::<f64>().ok());
-        if left.is_some_and(|left| left <= 0.0) {
+        if time_left(request).is_some_and(|left| left <= 0.0) {
             return Some(Decision::TurnAway(504));
         }
         let failing = self.behaviour.failing(class_of(request));
@@ -357,6 +357,11 @@
     }
 }
 
+/// How long its sender waits, in seconds, where it says so.
+fn time_left(request: &Message) -> Option<f64> {
+    request.header("x-time-left").and_then(|left| left.parse::<f64>().ok())
+}
+
 /// The first part of the path.
 fn class_of(request: &Message) -> &str {
     let path = request.first.split(' ').nth(1).unwrap_or("");
--- a/crates/testkit/src/ledger.rs
+++ b/crates/testkit/src/ledger.rs
@@ -2,7 +2,7 @@
 //! rules over it are in [`crate::checks`].
 
 use crate::Power;
-use shaletide_base::Time;
+use shaletide_base::{Micros, Time};
 use std::sync::Arc;
 
 /// Records that a ledger holds unless told otherwise. One takes about 200 bytes: 60 MB in all.
@@ -65,6 +65,8 @@
     pub draining: Option<Time>,
     /// Work that it brought, ms of a standard core.
     pub work_ms: f64,
+    /// How long its sender said that it waits; none where it said nothing, or nothing that is a time.
+    pub time_left: Option<Micros>,
 }
 
 impl Record {
--- a/crates/testkit/src/proxy.rs
+++ b/crates/testkit/src/proxy.rs
@@ -1,6 +1,7 @@
 //! The program itself, started with a configuration of its own.
 
 use crate::{list, Client, DiscoveryServer, Log, Message, Refusing};
+use std::ffi::OsString;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
@@ -24,8 +25,8 @@
 #[derive(Clone, Debug)]
 pub struct Program {
     path: PathBuf,
-    /// NODE_LOG, where it is set.
-    log_level: Option<String>,
+    /// Variables of its environment beside NODE_CONFIG.
+    environment: Vec<(OsString, OsString)>,
 }
 
 /// The program at work; ends when this is dropped.
@@ -70,12 +71,18 @@
 impl Program {
     /// The program in that file.
     pub fn at(path: impl Into<PathBuf>) -> Program {
-        Program { path: path.into(), log_level: None }
+        Program { path: path.into(), environment: Vec::new() }
     }
 
     /// The same program, started with this NODE_LOG.
     pub fn log_level(self, level: &str) -> Program {
-        Program { log_level: Some(level.into()), ..self }
+        self.environment("NODE_LOG", level)
+    }
+
+    /// The same program, started with this variable in its environment.
+    pub fn environment(mut self, name: impl Into<OsString>, value: impl Into<OsString>) -> Program {
+        self.environment.push((name.into(), value.into()));
+        self
     }
 
     /// Starts it with these entries as the list that it knows from before.
@@ -153,9 +160,7 @@
         if let Some(path) = config {
             command.env("NODE_CONFIG", path);
         }
-        if let Some(level) = &self.log_level {
-            command.env("NODE_LOG", level);
-        }
+        command.envs(self.environment.iter().map(|(name, value)| (name, value)));
         command
     }
 }
