Tests that fail: short reads, EINTR at reads and writes, accept errors with free slots

Each makes the bad order happen each time: all reads are short, half of reads and writes are interrupted, half of the accepts fail.

--- /dev/null
+++ b/crates/soak/tests/rig/mod.rs
@@ -0,0 +1,48 @@
+//! The program with failing system calls, between the testkit's stand-ins.
+#![allow(dead_code)]
+
+use shaletide_soak::artifacts::Artifacts;
+use shaletide_soak::control::FaultControl;
+pub use shaletide_testkit::*;
+use std::path::{Path, PathBuf};
+use std::sync::atomic::{AtomicU64, Ordering};
+
+/// The seed of the shim's random numbers in these tests.
+const SEED: u64 = 7;
+
+static FOLDERS: AtomicU64 = AtomicU64::new(0);
+
+/// A folder that is removed when this is dropped.
+pub struct Folder(PathBuf);
+
+impl Folder {
+    pub fn new() -> Folder {
+        let number = FOLDERS.fetch_add(1, Ordering::SeqCst);
+        let path = std::env::temp_dir().join(format!("shaletide-calls-{}-{number}", std::process::id()));
+        std::fs::create_dir_all(&path).expect("a folder");
+        Folder(path)
+    }
+
+    pub fn path(&self) -> &Path {
+        &self.0
+    }
+}
+
+impl Drop for Folder {
+    fn drop(&mut self) {
+        let _ = std::fs::remove_dir_all(&self.0);
+    }
+}
+
+/// The program under test, run with the shim, and the switches of its faults. `watched`: the folder whose files have
+/// the faults of the disk.
+pub fn faulty(folder: &Folder, watched: Option<&Path>) -> (Program, FaultControl) {
+    let artifacts = Artifacts::find().expect("the program and the shim");
+    let number = FOLDERS.fetch_add(1, Ordering::SeqCst);
+    let control = FaultControl::create(&folder.path().join(format!("faults-{number}"))).expect("a file");
+    let variables = control.environment(&artifacts.shim, SEED, watched);
+    let program = variables
+        .into_iter()
+        .fold(Program::at(&artifacts.program), |program, (name, value)| program.environment(name, value));
+    (program, control)
+}
--- /dev/null
+++ b/crates/soak/tests/system_calls.rs
@@ -0,0 +1,79 @@
+//! System calls that fail in ways that Linux documents: what was taken is answered, and nothing runs twice.
+
+mod rig;
+
+use rig::*;
+use shaletide_soak::call_faults::CallFault;
+use std::io::ErrorKind;
+
+/// A backend that answers everything, and its line in the list.
+fn backend() -> (BackendServer, Vec<String>) {
+    let backend = BackendServer::start(|_| ok("done"));
+    let known = vec![entry("b0", backend.address, "SERVING")];
+    (backend, known)
+}
+
+/// Each read brings a few bytes and leaves the rest in the kernel, which says nothing more of it: heads and bodies of
+/// requests and of answers come whole all the same.
+#[test]
+fn short_reads_leave_no_request_unanswered() {
+    let folder = Folder::new();
+    let (program, control) = faulty(&folder, None);
+    let (backend, known) = backend();
+    let proxy = program.start(&known);
+    control.set(CallFault::ShortRead, 1.0).expect("the control file");
+    let mut client = proxy.client();
+    for n in 0..5 {
+        assert_eq!(client.ask(&pay(3.0)).status(), 200, "request {n}");
+    }
+    assert_eq!(backend.count(), 5);
+    assert!(control.count(CallFault::ShortRead).expect("the control file") > 100);
+}
+
+/// Half of all reads, peeks and writes are interrupted before they did anything: no connection ends of it, no request
+/// is sent twice and none has another answer than its own.
+#[test]
+fn interrupted_reads_and_writes_end_no_connection() {
+    let folder = Folder::new();
+    let (program, control) = faulty(&folder, None);
+    let (backend, known) = backend();
+    let proxy = program.start(&known);
+    let mut client = proxy.client();
+    assert_eq!(client.ask(&pay(3.0)).status(), 200);
+    control.set(CallFault::InterruptedRead, 0.5).expect("the control file");
+    control.set(CallFault::InterruptedWrite, 0.5).expect("the control file");
+    for n in 0..20 {
+        for request in [read(3.0), pay(3.0), vote(3.0)] {
+            assert_eq!(client.ask(&request).status(), 200, "round {n}");
+        }
+    }
+    assert_eq!(backend.count(), 61);
+    for fault in [CallFault::InterruptedRead, CallFault::InterruptedWrite] {
+        assert!(control.count(fault).expect("the control file") > 20, "{fault:?}");
+    }
+}
+
+/// Accepts fail with what the kernel passes on from the network, while there are slots and descriptors enough: resting
+/// connections stay, and new ones are served.
+#[test]
+fn accept_errors_evict_nobody_while_slots_are_free() {
+    let folder = Folder::new();
+    let (program, control) = faulty(&folder, None);
+    let (_backend, known) = backend();
+    let proxy = program.start(&known);
+    let mut resting: Vec<Client> = (0..20).map(|_| proxy.client()).collect();
+    for client in &mut resting {
+        assert_eq!(client.ask(&read(3.0)).status(), 200);
+    }
+    control.set(CallFault::Accept, 0.5).expect("the control file");
+    for _ in 0..40 {
+        assert_eq!(proxy.ask(&read(3.0)).status(), 200);
+    }
+    assert!(control.count(CallFault::Accept).expect("the control file") > 10);
+    for (n, client) in resting.iter_mut().enumerate() {
+        let tcp = client.0.get_ref();
+        tcp.set_nonblocking(true).expect("a socket");
+        let peeked = tcp.peek(&mut [0]);
+        assert!(matches!(&peeked, Err(e) if e.kind() == ErrorKind::WouldBlock), "client {n}: {peeked:?}");
+    }
+}
