--- a/crates/soak/shim/lib.rs
+++ b/crates/soak/shim/lib.rs
@@ -216,7 +216,8 @@
     if kind(fd) != FILE || !fails(CallFault::DiskWrite) {
         return Ok(length);
     }
-    if length > 1 && random().is_multiple_of(3) {
+    let is_partial = one_of(&[0, 0, 1]) == 1;
+    if length > 1 && is_partial {
         return Ok(1 + random() as size_t % (length - 1));
     }
     Err(one_of(&[libc::EIO, libc::ENOSPC]))
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -4,7 +4,9 @@
 use crate::call_faults::CallFault;
 use crate::clients::{leave, misbehave, Departure};
 use crate::control::FaultControl;
-use crate::oracle::{judge, ClientRecords, Evidence, LateLink, Unlisted, Violation, CORES, MEAN_WORK_MS};
+use crate::oracle::{
+    judge, ClientRecords, Evidence, LateLink, Return, Unlisted, Violation, CORES, MEAN_WORK_MS,
+};
 use crate::plan::{FaultKind, Illness, Plan, Scale, Step};
 use crate::proxies::*;
 use shaletide_base::{Effect, KeyScope, Micros, Time};
@@ -94,6 +96,7 @@
     unreachable: Vec<Vec<(Time, Time)>>,
     moves: Vec<Vec<Time>>,
     late_links: Vec<LateLink>,
+    returns: Vec<Return>,
     runs: u32,
 }
 
@@ -253,7 +256,7 @@
 
     fn evidence(&self, held_up: bool) -> Evidence {
         let notes = std::mem::take(&mut *self.notes());
-        let Notes { lives, clients, unlisted, mut unreachable, moves, mut late_links, .. } = notes;
+        let Notes { lives, clients, unlisted, mut unreachable, moves, mut late_links, returns, .. } = notes;
         let open = Time(u64::MAX);
         let now = self.clock.now();
         unreachable.iter_mut().flatten().filter(|span| span.1 == open).for_each(|span| span.1 = now);
@@ -275,6 +278,7 @@
             unreachable,
             moves,
             late_links,
+            returns,
             log_lines,
             held_up,
             deadline: Micros(LONGEST_DEADLINE_US),
@@ -362,6 +366,7 @@
                 let now = self.clock.now();
                 self.discovery.put(handle.entry());
                 let mut notes = self.notes();
+                notes.returns.push(Return { backend, listed: now });
                 let open = notes.unlisted.iter_mut().filter(|u| u.backend == backend && u.until.is_none());
                 open.for_each(|unlisted| unlisted.until = Some(now));
             }
