Classify errors of system calls in one place; bear short reads, EINTR and accept errors

Cause, each traced by its failing test and by reading: - Short reads: Stream::poll_read called tokio's poll_read, which clears a socket's readiness after any read that does not fill its buffer; with edge-triggered epoll nothing wakes the task again for what the read left behind. - EINTR: tokio and hyper pass ErrorKind::Interrupted on, and Stream::poll_read, poll_write, discard and peek took it for the end of the connection (peek: for a client that has gone, so that its request was withdrawn and answered 504). - Accept: Server::accept and drain_backlog evicted a client at every error but ECONNABORTED. into_std and from_std errors dropped a listener or a connection without a word (flat_map, into_iter). - Beside it: a connect that met ENOBUFS, ENOMEM, EADDRNOTAVAIL or EINTR was blamed on its backend.

Streams read and write by try_read and try_write, and readiness goes only with EAGAIN; interrupted calls are repeated. Accepts go on at once after errors of the network, pause for shortages of the system's and evict only at EMFILE. Connects that lack something of the system's are tried again within their time and blame nobody. The backlog is emptied through the listener itself, so that nothing is dropped at shutdown.

Ruled out: filling the buffer anew until EAGAIN within one poll_read, which would read ahead of hyper's limits.

--- a/crates/control/src/server.rs
+++ b/crates/control/src/server.rs
@@ -90,6 +90,11 @@
     timeout(COMMAND, handler(command)).await.unwrap_or_else(|_| late())
 }
 
+/// The socket is not ready, or a signal came first: the same is tried again.
+fn is_passing(error: &Error) -> bool {
+    matches!(error.kind(), ErrorKind::WouldBlock | ErrorKind::Interrupted)
+}
+
 enum Line {
     Whole(Vec<u8>),
     TooLong,
@@ -114,7 +119,7 @@
         match stream.try_read(&mut some[..room]) {
             Ok(0) => return Ok(None),
             Ok(count) => read.extend_from_slice(&some[..count]),
-            Err(error) if error.kind() == ErrorKind::WouldBlock => {}
+            Err(error) if is_passing(&error) => {}
             Err(error) => return Err(error),
         }
     }
@@ -125,7 +130,7 @@
         stream.writable().await?;
         match stream.try_write(text) {
             Ok(count) => text = &text[count..],
-            Err(error) if error.kind() == ErrorKind::WouldBlock => {}
+            Err(error) if is_passing(&error) => {}
             Err(error) => return Err(error),
         }
     }
--- a/crates/http/src/accept.rs
+++ b/crates/http/src/accept.rs
@@ -4,17 +4,17 @@
 use crate::limits::EXTRA_CONNECTIONS;
 use crate::listener::accept_any;
 use crate::server::Server;
-use shaletide_balancer::Micros;
-use shaletide_net::Stream;
+use shaletide_net::{accept_failure, AcceptFailure, Stream, SystemCall};
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
-use tracing::warn;
 
 /// Turns of the event loop after which the first request on a new connection has been read, if it was there.
 pub(crate) const READ_TURNS: usize = 4;
-/// Accept errors are logged at most this often.
-const ACCEPT_LOG_INTERVAL: Micros = Micros(1_000_000);
+/// After so many failures in a row accepts are tried with pauses, whatever the error.
+const MAX_IMMEDIATE_ACCEPTS: u32 = 64;
+/// The pause after an accept that failed for want of something.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(5);
 
 impl Server {
     /// Accepts one connection, after evicting others where the limit is reached.
@@ -32,21 +32,31 @@
             let _ = tokio::time::timeout(Duration::from_millis(20), self.connection_ended.notified()).await;
         }
         match accept_any(listeners, self.next_connection.get()).await {
-            Ok((tcp, _)) => self.admit(tcp),
-            Err(e) => {
-                // A client that closed while it was queued: the next one is accepted at once.
-                if e.kind() == std::io::ErrorKind::ConnectionAborted {
-                    return;
-                }
-                // Out of descriptors: never fatal.
-                let _ = self.evict_one() || self.host.make_room();
-                let now = self.host.clock.now();
-                if now - self.accept_logged.get() >= ACCEPT_LOG_INTERVAL {
-                    self.accept_logged.set(now);
-                    warn!("accept: {e}; {} clients, {} upstreams", self.clients(), self.host.upstreams());
-                }
-                tokio::time::sleep(Duration::from_millis(5)).await;
+            Ok((tcp, _)) => {
+                self.accept_failures.set(0);
+                self.admit(tcp);
             }
+            Err(error) => self.accept_failed(&error).await,
+        }
+    }
+
+    /// Does what a failed accept calls for; never fatal.
+    async fn accept_failed(self: &Rc<Self>, error: &std::io::Error) {
+        self.host.system_errors.note(self.host.clock.now(), SystemCall::Accept, error);
+        let failures = self.accept_failures.get().saturating_add(1);
+        self.accept_failures.set(failures);
+        match accept_failure(error) {
+            AcceptFailure::Connection if failures < MAX_IMMEDIATE_ACCEPTS => return,
+            AcceptFailure::Connection | AcceptFailure::SystemShortage => {}
+            AcceptFailure::OutOfDescriptors => self.free_descriptor(),
+        }
+        tokio::time::sleep(ACCEPT_PAUSE).await;
+    }
+
+    /// Closes a connection that nobody uses, of a client or to a backend.
+    pub(crate) fn free_descriptor(&self) {
+        if !self.evict_one() {
+            self.host.make_room(); // where there is none, one ends by itself
         }
     }
 
--- a/crates/http/src/server.rs
+++ b/crates/http/src/server.rs
@@ -35,8 +35,8 @@
     pub(crate) connection_ended: Notify,
     /// Connections that linger after their last response.
     pub(crate) lingering: Cell<usize>,
-    /// When an accept error was last logged.
-    pub(crate) accept_logged: Cell<Time>,
+    /// Accepts that failed since the last that did not.
+    pub(crate) accept_failures: Cell<u32>,
     /// Connections accepted, connections evicted and requests rejected since the last report.
     pub(crate) accepted: Cell<u64>,
     pub(crate) evicted: Cell<u64>,
@@ -64,7 +64,7 @@
             latest_deadline: Cell::default(),
             connection_ended: Notify::new(),
             lingering: Cell::default(),
-            accept_logged: Cell::default(),
+            accept_failures: Cell::default(),
             accepted: Cell::default(),
             evicted: Cell::default(),
             rejected: Cell::default(),
--- a/crates/http/src/shutdown.rs
+++ b/crates/http/src/shutdown.rs
@@ -5,7 +5,10 @@
 use crate::limits::EXTRA_CONNECTIONS;
 use crate::server::Server;
 use shaletide_balancer::{Micros, Time};
+use shaletide_net::{accept_failure, AcceptFailure, SystemCall};
+use socket2::SockRef;
 use std::future::Future;
+use std::io::ErrorKind;
 use std::pin::pin;
 use std::rc::Rc;
 use std::time::Duration;
@@ -18,6 +21,8 @@
 const STOP_MARGIN: Micros = Micros(500_000);
 /// The part of it that is kept for writing the last responses.
 const FLUSH_TIME: Micros = Micros(100_000);
+/// Accepts of a listener's queue in one turn of the event loop.
+const MAX_BACKLOG_ACCEPTS: usize = 4096;
 /// How often idle connections are closed during shutdown.
 const IDLE_CHECK_INTERVAL: Duration = Duration::from_millis(20);
 /// A connection without a request is not closed before this age: its request may be on the way.
@@ -51,7 +56,7 @@
             }
         }
         // Connections in the accept queue are served too: a listener is closed only once its queue is empty.
-        let mut listeners: Vec<_> = listeners.into_iter().flat_map(TcpListener::into_std).collect();
+        let mut listeners = listeners;
         // A client that sends half of a request, or does not read its response, does not delay the end. At the deadline
         // open requests are given up once; then their responses have FLUSH_TIME, and at least some turns of the event
         // loop, as a process that was not scheduled for long may find both times over.
@@ -77,25 +82,42 @@
         }
     }
 
-    /// Admits the connections in a listener's accept queue up to the limit. Whether the queue is empty.
-    fn drain_backlog(self: &Rc<Self>, listener: &std::net::TcpListener) -> bool {
-        while self.clients() < self.max_clients + EXTRA_CONNECTIONS {
-            match listener.accept() {
-                Ok((stream, _)) => {
-                    let tcp = stream.set_nonblocking(true).and_then(|()| TcpStream::from_std(stream));
-                    tcp.into_iter().for_each(|tcp| self.admit(tcp));
-                }
-                Err(e) if e.kind() == std::io::ErrorKind::WouldBlock => return true,
-                Err(e) if e.kind() == std::io::ErrorKind::ConnectionAborted => {} // a client that closed while it was queued
-                Err(_) => {
-                    let _ = self.evict_one() || self.host.make_room();
-                    return false; // out of descriptors: tried again when a connection has ended
+    /// Admits the connections in a listener's accept queue up to the limit. Whether the queue is empty. The kernel itself
+    /// is asked: the event loop may not have heard of the last ones.
+    fn drain_backlog(self: &Rc<Self>, listener: &TcpListener) -> bool {
+        let socket = SockRef::from(listener);
+        for _ in 0..MAX_BACKLOG_ACCEPTS {
+            if self.clients() >= self.max_clients + EXTRA_CONNECTIONS {
+                return false;
+            }
+            match socket.accept() {
+                Ok((accepted, _)) => self.admit_accepted(accepted.into()),
+                Err(e) if e.kind() == ErrorKind::WouldBlock => return true,
+                Err(e) => {
+                    self.host.system_errors.note(self.host.clock.now(), SystemCall::Accept, &e);
+                    match accept_failure(&e) {
+                        AcceptFailure::Connection => {}
+                        AcceptFailure::SystemShortage => return false, // tried again soon
+                        AcceptFailure::OutOfDescriptors => {
+                            self.free_descriptor();
+                            return false; // tried again when a connection has ended
+                        }
+                    }
                 }
             }
         }
         false
     }
 
+    /// Admits a connection that the event loop does not know yet.
+    fn admit_accepted(self: &Rc<Self>, accepted: std::net::TcpStream) {
+        match accepted.set_nonblocking(true).and_then(|()| TcpStream::from_std(accepted)) {
+            Ok(tcp) => self.admit(tcp),
+            // The event loop has no memory for it: it cannot be served.
+            Err(e) => self.host.system_errors.note(self.host.clock.now(), SystemCall::Register, &e),
+        }
+    }
+
     /// Closes the connections that have no request open, except new ones. The others end with their response.
     fn close_idle(&self) {
         let now = self.host.clock.now();
--- a/crates/net/src/host.rs
+++ b/crates/net/src/host.rs
@@ -2,6 +2,7 @@
 //! engine's borrow has ended. It holds sockets, payloads and one timer, and decides nothing.
 
 use crate::exchange::{ExchangeOutcome, ExchangeSpec, UpstreamRequest};
+use crate::io_error::{connect_failure, ConnectFailure, SystemCall, SystemErrors};
 use crate::lines::{Line, Lines};
 use crate::recording::{Named, Recording};
 use crate::stream::{PeerWatch, Stream};
@@ -15,6 +16,7 @@
 use shaletide_routing::{Decision, Pools};
 use std::cell::{Cell, RefCell};
 use std::collections::{HashMap, HashSet, VecDeque};
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::TcpStream;
@@ -33,6 +35,8 @@
 const QUIET: Micros = Micros(10_000);
 /// How often idle connections are looked over.
 const SWEEP: Duration = Duration::from_millis(500);
+/// A connect that lacks something of the system's is tried again after this time.
+const CONNECT_PAUSE: Duration = Duration::from_millis(5);
 /// An answer may be so late in the eyes of the monitors: as late as a busy machine wakes.
 const SLACK: Micros = Micros(100_000);
 /// A list on record is cut behind so many bytes: 1,024 backends fit whose names are of 248 bytes.
@@ -170,6 +174,8 @@
     sooner: Notify,
     /// How late timers fire: the largest of late, fading.
     lag: Cell<u64>,
+    /// Errors of system calls.
+    pub system_errors: SystemErrors,
 }
 
 /// Not a byte of a request has gone out on it. Another is looked for, but not where it has only just come up: a backend
@@ -206,8 +212,14 @@
             last: 0,
             counts: Counts::default(),
         };
-        let (sooner, lag) = (Notify::new(), Cell::new(0));
-        Rc::new(Host { state: RefCell::new(state), clock, network: Cell::new(network), sooner, lag })
+        Rc::new(Host {
+            state: RefCell::new(state),
+            clock,
+            network: Cell::new(network),
+            sooner: Notify::new(),
+            lag: Cell::new(0),
+            system_errors: SystemErrors::default(),
+        })
     }
 
     /// Sets the pools up, at the start (with names of zones and kinds that are numbered first) or anew: those that
@@ -591,19 +603,17 @@
         let host = self.clone();
         let task = tokio::task::spawn_local(async move {
             let timeout = span(host.network.get().connect_timeout);
-            let event = match tokio::time::timeout(timeout, TcpStream::connect(to)).await {
-                Ok(Ok(tcp)) => {
+            let event = match host.connected(to, timeout).await {
+                Ok(tcp) => {
                     host.state.borrow_mut().came_up(conn, Stream::new(tcp));
                     Event::Up { conn }
                 }
-                failed => {
-                    // Out of descriptors: that is this proxy's own trouble, and no sign of the backend's.
-                    let own = matches!(&failed, Ok(Err(e)) if matches!(e.raw_os_error(), Some(23 | 24)));
+                Err(failure) => {
                     let mut s = host.state.borrow_mut();
                     s.trace_opening(conn, AttemptEvent::ConnectFailed);
                     s.lines.all.remove(&conn);
                     s.counts.unconnected += 1;
-                    Event::ConnectFailed { conn, blame: !own }
+                    Event::ConnectFailed { conn, blame: failure == ConnectFailure::Peer }
                 }
             };
             host.tell(event);
@@ -615,6 +625,31 @@
         s.lines.all.insert(conn, Line { backend, to, stream: None, task, busy: false, fresh: false });
     }
 
+    /// Connects within that time. A shortage of the system's is waited for, as the backend may be sound.
+    async fn connected(&self, to: SocketAddr, timeout: Duration) -> Result<TcpStream, ConnectFailure> {
+        let mut last = ConnectFailure::Peer;
+        let attempts = async {
+            loop {
+                let error = match TcpStream::connect(to).await {
+                    Ok(tcp) => return Ok(tcp),
+                    Err(error) => error,
+                };
+                last = connect_failure(&error);
+                if last != ConnectFailure::Peer {
+                    self.system_errors.note(self.clock.now(), SystemCall::Connect, &error);
+                }
+                if last != ConnectFailure::SystemShortage {
+                    return Err(last);
+                }
+                tokio::time::sleep(CONNECT_PAUSE).await;
+            }
+        };
+        match tokio::time::timeout(timeout, attempts).await {
+            Ok(done) => done,
+            Err(_) => Err(last),
+        }
+    }
+
     fn send(
         self: &Rc<Self>, conn: ConnId, request: RequestId, attempt: AttemptNo, deadline: Time,
         by: Option<Time>,
--- /dev/null
+++ b/crates/net/src/io_error/tests.rs
@@ -0,0 +1,86 @@
+use super::*;
+
+fn error(errno: Errno) -> io::Error {
+    io::Error::from(errno)
+}
+
+#[test]
+fn only_a_full_descriptor_table_of_this_process_calls_for_an_eviction() {
+    let connection = [
+        Errno::CONNABORTED,
+        Errno::INTR,
+        Errno::NETDOWN,
+        Errno::PROTO,
+        Errno::NOPROTOOPT,
+        Errno::HOSTDOWN,
+        Errno::NONET,
+        Errno::HOSTUNREACH,
+        Errno::OPNOTSUPP,
+        Errno::NETUNREACH,
+        Errno::PERM,
+    ];
+    for errno in connection {
+        assert_eq!(accept_failure(&error(errno)), AcceptFailure::Connection, "{errno:?}");
+    }
+    for errno in [Errno::NFILE, Errno::NOBUFS, Errno::NOMEM] {
+        assert_eq!(accept_failure(&error(errno)), AcceptFailure::SystemShortage, "{errno:?}");
+    }
+    assert_eq!(accept_failure(&error(Errno::MFILE)), AcceptFailure::OutOfDescriptors);
+}
+
+#[test]
+fn a_backend_is_blamed_for_its_own_failures_only() {
+    for errno in [Errno::INTR, Errno::NFILE, Errno::NOBUFS, Errno::NOMEM, Errno::ADDRNOTAVAIL] {
+        assert_eq!(connect_failure(&error(errno)), ConnectFailure::SystemShortage, "{errno:?}");
+    }
+    assert_eq!(connect_failure(&error(Errno::MFILE)), ConnectFailure::OutOfDescriptors);
+    for errno in [Errno::CONNREFUSED, Errno::TIMEDOUT, Errno::HOSTUNREACH, Errno::NETUNREACH] {
+        assert_eq!(connect_failure(&error(errno)), ConnectFailure::Peer, "{errno:?}");
+    }
+}
+
+#[test]
+fn interrupted_calls_are_repeated_and_other_errors_are_passed_on() {
+    let mut left = 3;
+    let done = uninterrupted(|| {
+        left -= 1;
+        if left > 0 {
+            return Err(error(Errno::INTR));
+        }
+        Ok(left)
+    });
+    assert_eq!(done.ok(), Some(0));
+    let failed = uninterrupted(|| Err::<(), _>(error(Errno::TIMEDOUT)));
+    assert_eq!(failed.err().and_then(|e| e.raw_os_error()), Some(Errno::TIMEDOUT.raw_os_error()));
+}
+
+#[test]
+fn a_shortage_at_the_start_is_waited_for_and_no_longer_than_allowed() {
+    let mut calls = 0;
+    let done = retry_shortage(Duration::from_secs(20), || {
+        calls += 1;
+        if calls < 3 {
+            Err(error(Errno::NFILE))
+        } else {
+            Ok(())
+        }
+    });
+    assert!(done.is_ok() && calls == 3);
+    assert!(retry_shortage(Duration::ZERO, || Err::<(), _>(error(Errno::NOBUFS))).is_err());
+    let mut refused = 0;
+    let failed = retry_shortage(Duration::from_secs(20), || {
+        refused += 1;
+        Err::<(), _>(error(Errno::ACCESS))
+    });
+    assert!(failed.is_err() && refused == 1);
+}
+
+#[test]
+fn errors_are_counted_by_call() {
+    let errors = SystemErrors::default();
+    for n in 0..3 {
+        errors.note(Time(n), SystemCall::Accept, &error(Errno::NOBUFS));
+    }
+    errors.note(Time(9), SystemCall::Connect, &error(Errno::NETUNREACH));
+    assert_eq!((errors.count(SystemCall::Accept), errors.count(SystemCall::Connect)), (3, 1));
+}
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -5,6 +5,7 @@
 mod driven;
 mod exchange;
 mod host;
+mod io_error;
 mod lines;
 mod recording;
 mod stream;
@@ -13,6 +14,7 @@
 pub use driven::{driven, BoxError};
 pub use exchange::{ExchangeFuture, ExchangeOutcome, ExchangeSpec, UpstreamRequest};
 pub use host::{Answer, Host, Network, NotTaken, PoolSetup};
+pub use io_error::{accept_failure, retry_shortage, uninterrupted, AcceptFailure, SystemCall, SystemErrors};
 pub use recording::{Named, Recording};
 pub use stream::{PeerWatch, Stream};
 pub use trace::{request_trace_enabled, RequestEvent, RequestTrace, REQUEST_TARGET};
--- a/crates/net/src/stream.rs
+++ b/crates/net/src/stream.rs
@@ -1,6 +1,7 @@
 //! A TCP stream under hyper that can also be looked at from outside: how much of a request was written,
 //! and whether the other side has closed or sent anything.
 
+use crate::io_error::{is_interrupted, uninterrupted};
 use crate::trace::{AttemptEvent, AttemptOutcome, AttemptTrace};
 use hyper::rt::{Read, ReadBufCursor, Write};
 use rustix::event::{PollFd, PollFlags, Timespec};
@@ -9,9 +10,9 @@
 use std::os::fd::AsRawFd;
 use std::pin::Pin;
 use std::rc::{Rc, Weak};
-use std::task::{ready, Context, Poll, Waker};
+use std::task::{ready, Context, Poll};
 use std::time::{Duration, Instant};
-use tokio::io::{AsyncRead, ReadBuf};
+use tokio::io::Interest;
 use tokio::net::TcpStream;
 use tokio::sync::Notify;
 
@@ -125,7 +126,7 @@
     final_response_begun: Cell<bool>,
     /// Something was read since the last `mark_idle`.
     received: Cell<bool>,
-    /// The last read filled its buffer: more may wait in the kernel. Else there was nothing more at that moment.
+    /// The last read filled its buffer: more may wait in the kernel. Else there was hardly anything more at that moment.
     full: Cell<bool>,
     /// How often something was read, and told each time.
     reads: Cell<u64>,
@@ -338,7 +339,7 @@
                 }
                 match tcp.try_read(chunk) {
                     Ok(n) if n > 0 && count.get() <= most => count.set(count.get() + n),
-                    Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
+                    Err(e) if e.kind() == io::ErrorKind::WouldBlock || is_interrupted(&e) => {}
                     _ => return Poll::Ready(()),
                 }
             })
@@ -380,11 +381,12 @@
         matches!(self.peek(), Ok(n) if n > 0)
     }
 
-    /// The same as [`Stream::has_pending_input`], as far as the event loop has heard of it: no call to the kernel where it has heard of nothing.
-    /// Only for a stream on which nobody waits for bytes: whoever did would not be woken any more.
+    /// The same as [`Stream::has_pending_input`], as far as the event loop has heard of it: no call to the kernel where
+    /// it has heard of nothing since the kernel was last found empty.
     pub fn has_pending_input_as_polled(&self) -> bool {
-        let told = self.0.tcp.borrow().poll_read_ready(&mut Context::from_waker(Waker::noop()));
-        self.0.received.get() || told.is_ready() && self.has_pending_input()
+        let tcp = self.0.tcp.borrow();
+        let peeked = tcp.try_io(Interest::READABLE, || self.peek());
+        self.0.received.get() || !peeked.is_err_and(|e| e.kind() == io::ErrorKind::WouldBlock)
     }
 
     /// The other side has closed its connection, or its sending on it, or has reset it, by what the kernel has at this
@@ -401,7 +403,7 @@
     fn closed_behind_bytes(&self) -> bool {
         let tcp = self.0.tcp.borrow();
         let mut polled = [PollFd::new(&*tcp, PollFlags::RDHUP)];
-        let asked = rustix::event::poll(&mut polled, Some(&Timespec::default()));
+        let asked = uninterrupted(|| Ok(rustix::event::poll(&mut polled, Some(&Timespec::default()))?));
         let closed = PollFlags::RDHUP | PollFlags::HUP | PollFlags::ERR;
         asked.is_ok() && polled[0].revents().intersects(closed)
     }
@@ -419,9 +421,23 @@
         }
     }
 
+    /// Reads what is there. Only a read that finds nothing waits for the event loop: one that brings less than it could
+    /// may have left something behind, of which the event loop, which hears of each arrival once, would say nothing.
+    fn poll_read_into(&self, cx: &mut Context<'_>, into: &mut [u8]) -> Poll<io::Result<usize>> {
+        let tcp = self.0.tcp.borrow();
+        loop {
+            ready!(tcp.poll_read_ready(cx))?;
+            match tcp.try_read(into) {
+                Err(e) if e.kind() == io::ErrorKind::WouldBlock || is_interrupted(&e) => {}
+                done => return Poll::Ready(done),
+            }
+        }
+    }
+
     /// Asks the kernel itself: the event loop may not have come round to it yet.
     fn peek(&self) -> io::Result<usize> {
-        socket2::SockRef::from(&*self.0.tcp.borrow()).peek(&mut [std::mem::MaybeUninit::uninit()])
+        let tcp = self.0.tcp.borrow();
+        uninterrupted(|| socket2::SockRef::from(&*tcp).peek(&mut [std::mem::MaybeUninit::uninit()]))
     }
 }
 
@@ -446,14 +462,11 @@
     fn poll_read(
         self: Pin<&mut Self>, cx: &mut Context<'_>, mut buf: ReadBufCursor<'_>,
     ) -> Poll<io::Result<()>> {
-        let tcp = &self.0.tcp;
         CHUNK.with_borrow_mut(|chunk| {
             let room = buf.remaining().min(chunk.len());
-            let mut into = ReadBuf::new(&mut chunk[..room]);
-            // A read that does not fill its buffer tells tokio that nothing more is there: it saves the next, vain one.
-            ready!(Pin::new(&mut *tcp.borrow_mut()).poll_read(cx, &mut into))?;
-            let bytes = into.filled();
-            self.0.full.set(bytes.len() == room);
+            let read = ready!(self.poll_read_into(cx, &mut chunk[..room]))?;
+            let bytes = &chunk[..read];
+            self.0.full.set(read == room);
             self.read(bytes);
             buf.put_slice(bytes);
             Poll::Ready(Ok(()))
@@ -481,7 +494,7 @@
                     self.wrote(&buf[..n]);
                     return Poll::Ready(Ok(n));
                 }
-                Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
+                Err(e) if e.kind() == io::ErrorKind::WouldBlock || is_interrupted(&e) => {}
                 Err(e) => return Poll::Ready(Err(e)),
             }
         }
@@ -491,7 +504,8 @@
     }
     fn poll_shutdown(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
         let tcp = self.0.tcp.borrow();
-        Poll::Ready(socket2::SockRef::from(&*tcp).shutdown(std::net::Shutdown::Write))
+        let socket = socket2::SockRef::from(&*tcp);
+        Poll::Ready(uninterrupted(|| socket.shutdown(std::net::Shutdown::Write)))
     }
 }
 
--- a/crates/net/src/stream/tests.rs
+++ b/crates/net/src/stream/tests.rs
@@ -2,6 +2,7 @@
 
 use super::*;
 use std::io::{Read as _, Write as _};
+use std::task::Waker;
 
 async fn pair() -> (Stream, std::net::TcpStream) {
     let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
