--- /dev/null
+++ b/crates/soak/tests/start.rs
@@ -0,0 +1,26 @@
+//! The start of the program while the system lacks something for a moment.
+
+mod rig;
+
+use rig::*;
+use shaletide_soak::call_faults::CallFault;
+use std::time::Duration;
+
+/// The first sockets cannot be made (ENFILE, ENOBUFS, ENOMEM): the program waits for the system and serves then.
+#[test]
+fn program_serves_once_the_system_has_sockets_again() {
+    let folder = Folder::new();
+    let (program, control) = faulty(&folder, None);
+    let backend = BackendServer::start(|_| ok("done"));
+    let known = vec![entry("b0", backend.address, "SERVING")];
+    control.set(CallFault::Socket, 1.0).expect("the control file");
+    std::thread::scope(|scope| {
+        let started = scope.spawn(|| program.start(&known));
+        while control.count(CallFault::Socket).expect("the control file") < 3 && !started.is_finished() {
+            std::thread::sleep(Duration::from_millis(5));
+        }
+        control.clear().expect("the control file");
+        let proxy = started.join().expect("the program serves");
+        assert_eq!(proxy.ask(&pay(3.0)).status(), 200);
+    });
+}
--- /dev/null
+++ b/crates/soak/tests/wall_clock.rs
@@ -0,0 +1,106 @@
+//! A wall clock that is wrong: who is cold goes by real time all the same.
+
+mod rig;
+
+use rig::*;
+use shaletide_base::{Effect, Micros};
+use shaletide_testkit::Status;
+use std::time::Duration;
+
+/// A backend is warm after this time.
+const RAMP: Micros = Micros(2_000_000);
+/// Requests a second, over five backends.
+const RATE_PER_S: f64 = 250.0;
+/// What each request needs, ms.
+const WORK_MS: f64 = 10.0;
+/// The backend that starts anew is out of the list for so long before.
+const AWAY: Duration = Duration::from_millis(500);
+/// What it gets is counted for so long after its start.
+const COUNTED: Duration = Duration::from_secs(4);
+/// What a warm backend gets in a second: an even part.
+const WARM: usize = RATE_PER_S as usize / 5;
+
+/// When the clock is as wrong as said.
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Since {
+    /// From before the process starts.
+    Start,
+    /// From before the backend starts anew, while the process runs.
+    Running,
+}
+
+fn backends() -> Vec<BoxSpec> {
+    let power = shaletide_testkit::Power { cores: 2, speed: 1.0, cold_from: 0.1, ramp: RAMP };
+    (0..5).map(|n| BoxSpec::new(&format!("b{n}"), power)).collect()
+}
+
+fn settings() -> String {
+    let ramp = SETTINGS.replace("\"ramp_time_us\":9000000", &format!("\"ramp_time_us\":{}", RAMP.0));
+    ramp.replace("\"cold_from\":0.3", "\"cold_from\":0.1")
+}
+
+/// What a backend gets that starts anew, by the second after its start, at a proxy whose wall clock is so many seconds
+/// ahead.
+fn requests_by_second(ahead: i64, since: Since) -> Vec<usize> {
+    let folder = Folder::new();
+    let (program, control) = faulty(&folder, None);
+    if since == Since::Start {
+        control.step_wall_clock(ahead).expect("the control file");
+    }
+    let services = vec![Service::new("", Law::Fixed(WORK_MS))];
+    let fleet = Fleet::with(FleetSpec { services, ..FleetSpec::new(backends()) }).expect("a fleet");
+    let entries: Vec<Entry> = fleet.boxes().iter().map(BoxHandle::entry).collect();
+    let known: Vec<String> = entries.iter().map(Entry::text).collect();
+    let discovery = ListServer::start(fleet.clock(), &["n0"], entries).expect("a discovery");
+    let proxy = program.joined(discovery.address(0), &known, &settings());
+    let class = LoadClass::new("read", Effect::Free, Duration::from_secs(3));
+    let load = Load { clock: fleet.clock(), ..Load::new(RATE_PER_S, vec![class], AWAY * 2 + COUNTED) };
+    let to = proxy.address;
+    let clients = std::thread::spawn(move || load.run_blocking(to).expect("a runtime"));
+    let backend = &fleet.boxes()[0];
+    assert!(backend.wait(|stats| stats.requests > 10));
+    if since == Since::Running {
+        control.step_wall_clock(ahead).expect("the control file");
+    }
+    let version = discovery.set("b0", Status::Deleted);
+    assert!(discovery.wait_told(version));
+    std::thread::sleep(AWAY);
+    let started = backend.revive();
+    discovery.put(backend.entry());
+    let result = clients.join().expect("the clients");
+    assert_eq!(result.unanswered(), 0);
+    let ledger = fleet.ledger();
+    let mut counts = vec![0; COUNTED.as_secs() as usize];
+    for record in ledger.records.iter().filter(|record| record.at_box == 0 && record.boot == 1) {
+        if let Some(count) = counts.get_mut((record.began - started).secs() as usize) {
+            *count += 1;
+        }
+    }
+    println!("{ahead} s ahead since {since:?}: {counts:?}");
+    counts
+}
+
+fn is_cold_first_and_warm_after(ahead: i64, since: Since) {
+    let counts = requests_by_second(ahead, since);
+    assert!(counts[0] < WARM / 2, "{ahead} s ahead since {since:?}: taken for warm, {counts:?}");
+    assert!(counts[3] > WARM / 2, "{ahead} s ahead since {since:?}: starved, {counts:?}");
+}
+
+#[test]
+fn backend_is_cold_for_a_ramp_where_the_clock_was_ahead_at_the_start() {
+    is_cold_first_and_warm_after(3600, Since::Start);
+    is_cold_first_and_warm_after(7, Since::Start);
+}
+
+#[test]
+fn backend_is_cold_for_a_ramp_where_the_clock_was_behind_at_the_start() {
+    is_cold_first_and_warm_after(-3600, Since::Start);
+    is_cold_first_and_warm_after(-7, Since::Start);
+}
+
+#[test]
+fn backend_is_cold_for_a_ramp_where_the_clock_is_true_or_stepped_while_running() {
+    is_cold_first_and_warm_after(0, Since::Start);
+    is_cold_first_and_warm_after(3600, Since::Running);
+    is_cold_first_and_warm_after(-3600, Since::Running);
+}
