Tell who is cold by the monotonic clock and the lists' own times; wait for a short system at the start

Cause: net::Clock takes the wall clock once at the start, and balancer::warmth set the start times of lists against it: a clock an hour ahead made each restarted backend warm at once (it falls), one an hour behind held it cold for an hour. Class: a time of another machine compared with an own one. And: listen, the event loop, signals and the first reading of the configuration ended the program at the first ENFILE, ENOBUFS or ENOMEM.

Change: membership::StartTimes puts local times in the place of the listed ones as a list is taken in. A start lies before it is first heard of, which bounds how far the own clock is ahead; the second smallest bound of all backends is used, so that one wrong stamp misleads nobody. From then on age is a span of the monotonic clock. net::retry_shortage repeats calls of the start for 8 s at most.

Weighed and ruled out: the own clock where it agrees (cannot be told), the first hearing alone (all of a list new after each restart), the Date of discovery's answers (the protocol promises none).

--- a/crates/membership/src/lib.rs
+++ b/crates/membership/src/lib.rs
@@ -3,7 +3,7 @@
 //!
 //! [`List`] reads a list in the platform's form. [`Directory`] holds what the list of each pool says, numbers
 //! the backends, gives an address that several lists bring to one of them, and says what each pool's balancer
-//! is to be told.
+//! is to be told. [`StartTimes`] says when backends started, by the own clock.
 #![forbid(unsafe_code)]
 
 mod claims;
@@ -12,9 +12,11 @@
 mod numbers;
 mod pool;
 mod reload;
+mod starts;
 
 pub use claims::Conflict;
 pub use directory::{Directory, Moved, Told};
 pub use list::{bay, mark, Endpoint, List, Skipped, MAX_ENTRIES, MAX_NAME};
 pub use numbers::MAX_NUMBERED;
 pub use pool::{PoolSpec, Source};
+pub use starts::StartTimes;
--- a/crates/membership/src/list.rs
+++ b/crates/membership/src/list.rs
@@ -53,7 +53,8 @@
     pub weight: u32,
     /// What it may be sent.
     pub state: BackendState,
-    /// When it last started; `None` means long ago.
+    /// When it last started, by the clock of whoever made the list, until [`crate::StartTimes`] has put the own clock's
+    /// time there; `None` means long ago.
     pub booted: Option<Time>,
 }
 
--- /dev/null
+++ b/crates/membership/src/starts.rs
@@ -0,0 +1,119 @@
+//! When backends started, by this process's own clock. Pure: the time is an argument.
+//!
+//! A list says when a backend last started by the wall clock of another machine. The wall clock of this one may have
+//! been wrong as the process started, by seconds or by an hour, so the two are never set against each other. What is
+//! known for certain:
+//!
+//! - A start lies before the moment at which this process first hears of it. So the local clock is ahead of the lists'
+//!   clock by no more than the difference between the two, for each start that was ever heard of. The smallest such
+//!   bound tells how old a start is at least.
+//! - A backend's own stamp may be wrong too. The smallest bound of all but one backend is used: one backend with a stamp
+//!   in the future makes none of the others look older than it is.
+//! - From then on age is a span of the monotonic clock.
+//!
+//! So a backend is never taken for older than it is, and none for younger than the time since it was first heard of,
+//! whatever the wall clocks say: none is held cold for longer than its ramp from then on. The price: after a restart of
+//! this process the backends that started last are taken for new ones for a ramp, unless they started so long ago that
+//! no plausible error of a clock makes them cold.
+
+use crate::list::Endpoint;
+use shaletide_base::{BackendState, ListUpdate, Micros, PoolId, Time};
+use std::collections::{BTreeMap, BTreeSet};
+
+/// Wall clocks are wrong by no more than this, all machines' errors taken together: two steps of an hour.
+const MAX_CLOCK_ERROR: Micros = Micros(2 * 3_600_000_000);
+
+/// A backend in the list of a pool.
+type Name = (PoolId, String);
+
+/// A start as it was listed, and as this process has it.
+#[derive(Clone, Copy, Debug)]
+struct Start {
+    listed: Time,
+    local: Option<Time>,
+}
+
+/// By how much the local clock is ahead of the lists' clock at most, by the two backends that say least.
+#[derive(Clone, Debug, Default)]
+struct Lead {
+    least: Option<(Name, i64)>,
+    /// Of another backend.
+    second: Option<(Name, i64)>,
+}
+
+impl Lead {
+    fn observe(&mut self, name: &Name, lead: i64) {
+        match &mut self.least {
+            Some((least, bound)) if least == name => *bound = lead.min(*bound),
+            Some((_, bound)) if lead >= *bound => match &mut self.second {
+                Some((_, bound)) if lead >= *bound => {}
+                second => *second = Some((name.clone(), lead)),
+            },
+            least => self.second = least.replace((name.clone(), lead)),
+        }
+    }
+}
+
+/// The starts of all listed backends.
+#[derive(Clone, Debug, Default)]
+pub struct StartTimes {
+    starts: BTreeMap<Name, Start>,
+    lead: Lead,
+    /// The longest ramp of all pools.
+    ramp: Micros,
+}
+
+impl StartTimes {
+    /// The longest time that a backend of any pool takes to be warm.
+    pub fn set_ramp(&mut self, ramp: Micros) {
+        self.ramp = ramp;
+    }
+
+    /// Puts the local clock's times in the place of the listed ones. Cost: a look-up for each entry.
+    pub fn localize(&mut self, now: Time, pool: PoolId, update: ListUpdate, entries: &mut [Endpoint]) {
+        for entry in entries.iter() {
+            if let (Some(listed), true) = (entry.booted, entry.state != BackendState::Gone) {
+                self.lead.observe(&(pool, entry.name.clone()), lead(now, listed));
+            }
+        }
+        for entry in entries.iter_mut() {
+            if let Some(listed) = entry.booted {
+                entry.booted = self.local(now, (pool, entry.name.clone()), listed);
+            }
+        }
+        self.forget(pool, update, entries);
+    }
+
+    fn local(&mut self, now: Time, name: Name, listed: Time) -> Option<Time> {
+        if let Some(start) = self.starts.get(&name).filter(|start| start.listed == listed) {
+            return start.local;
+        }
+        let ahead = lead(now, listed);
+        let is_surely_warm = ahead > (self.ramp.0.saturating_add(MAX_CLOCK_ERROR.0)) as i64;
+        let least_age = self.lead.second.as_ref().map_or(0, |(_, bound)| ahead.saturating_sub(*bound));
+        let local = (!is_surely_warm).then(|| now - Micros(least_age.max(0) as u64));
+        self.starts.insert(name, Start { listed, local });
+        local
+    }
+
+    /// Keeps what is listed only.
+    fn forget(&mut self, pool: PoolId, update: ListUpdate, entries: &[Endpoint]) {
+        let is_gone = |entry: &&Endpoint| entry.state == BackendState::Gone;
+        match update {
+            ListUpdate::Full | ListUpdate::Cached => {
+                let names: BTreeSet<&str> =
+                    entries.iter().filter(|entry| !is_gone(entry)).map(|entry| &*entry.name).collect();
+                self.starts.retain(|(of, name), _| *of != pool || names.contains(name.as_str()));
+            }
+            ListUpdate::Changes => entries.iter().filter(is_gone).for_each(|entry| {
+                self.starts.remove(&(pool, entry.name.clone()));
+            }),
+            ListUpdate::Lost => {}
+        }
+    }
+}
+
+/// The local time less a listed one, µs.
+fn lead(now: Time, listed: Time) -> i64 {
+    (now.0 as i64).saturating_sub(listed.0 as i64)
+}
--- a/crates/net/src/host.rs
+++ b/crates/net/src/host.rs
@@ -11,7 +11,7 @@
 use shaletide_balancer::*;
 use shaletide_engine::monitor::{Monitor, Rules};
 use shaletide_engine::{Action, ConnStep, Engine, Event, Final, Keeping, Order};
-use shaletide_membership::{Conflict, Directory, Endpoint, PoolSpec, Told};
+use shaletide_membership::{Conflict, Directory, Endpoint, PoolSpec, StartTimes, Told};
 use shaletide_record::{Asked, Conflict as KeyConflict, Ending, Fact, Seen, Verdict};
 use shaletide_routing::{Decision, Pools};
 use std::cell::{Cell, RefCell};
@@ -145,6 +145,7 @@
 struct State {
     engine: Engine<Pools>,
     directory: Directory,
+    starts: StartTimes,
     /// Backends numbered so far; a line names each new one, as the module's lines speak of numbers.
     named: u32,
     open: HashMap<RequestId, Open>,
@@ -198,6 +199,7 @@
         let state = State {
             engine: Engine::new(Pools::new(), keeping(&network)),
             directory: Directory::default(),
+            starts: StartTimes::default(),
             named: 0,
             open: HashMap::new(),
             lines: Lines::default(),
@@ -252,6 +254,7 @@
             let realms: HashSet<Option<u32>> = ids.iter().map(|id| s.directory.realm(*id)).collect();
             let only_realm = realms.iter().next().copied().flatten().filter(|_| realms.len() == 1);
             let cancel = setups.iter().all(|s| s.config.cancel);
+            s.starts.set_ramp(setups.iter().map(|s| s.config.ramp).max().unwrap_or_default());
             for (id, setup) in ids.iter().zip(setups) {
                 s.engine.policy().configure(*id, Config { zone, only_realm, ..setup.config }, seed)?;
             }
@@ -419,8 +422,12 @@
     }
 
     /// News of a pool's list.
-    pub fn members(self: &Rc<Self>, pool: PoolId, update: ListUpdate, entries: Vec<Endpoint>) {
-        let told = self.state.borrow_mut().directory.news(pool, update, entries);
+    pub fn members(self: &Rc<Self>, pool: PoolId, update: ListUpdate, mut entries: Vec<Endpoint>) {
+        let told = {
+            let mut s = self.state.borrow_mut();
+            s.starts.localize(self.clock.now(), pool, update, &mut entries);
+            s.directory.news(pool, update, entries)
+        };
         self.take_in(told);
     }
 
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -22,7 +22,8 @@
 use shaletide_balancer::Time;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
-/// The module's time: the monotonic clock, set once to Unix time so that start times in lists fit it.
+/// The module's time: the monotonic clock, set once to the wall clock's time so that it can be read in logs. No other
+/// machine's time is set against it, as the wall clock may have been wrong at the start.
 #[derive(Clone, Copy)]
 pub struct Clock {
     start: Instant,
--- a/crates/shaletide/src/daemon.rs
+++ b/crates/shaletide/src/daemon.rs
@@ -9,7 +9,7 @@
 use shaletide_control::{Control, ControlError};
 use shaletide_http::{listen, Rules, Server};
 use shaletide_keeper::{Keeper, Run, StoreError};
-use shaletide_net::{span, Clock, Host};
+use shaletide_net::{retry_shortage, span, Clock, Host};
 use shaletide_watch::{Place, Terms};
 use std::cell::Cell;
 use std::collections::HashMap;
@@ -30,6 +30,8 @@
 /// And so long at the least.
 const LAST_WRITES: Duration = Duration::from_millis(100);
 const REPORT_EVERY: Duration = Duration::from_secs(5);
+/// A start waits so long at most for memory, files or buffers that the system, or this process, lacks.
+pub const START_PATIENCE: Duration = Duration::from_secs(8);
 
 /// Why the daemon does not start.
 #[derive(Debug)]
@@ -73,7 +75,7 @@
 /// # Errors
 /// What the kernel says.
 pub fn hangups() -> Result<Signal, StartError> {
-    signal(SignalKind::hangup()).map_err(StartError::Signals)
+    retry_shortage(START_PATIENCE, || signal(SignalKind::hangup())).map_err(StartError::Signals)
 }
 
 /// A wait for the first of the signals to stop, heeded from now on: before, one ends the program at once.
@@ -81,7 +83,7 @@
 /// # Errors
 /// What the kernel says.
 pub fn stops() -> Result<impl Future<Output = ()>, StartError> {
-    let on = |kind| signal(kind).map_err(StartError::Signals);
+    let on = |kind| retry_shortage(START_PATIENCE, || signal(kind)).map_err(StartError::Signals);
     // A log, or a store of record, that reaches a limit on its file's size is no reason to end: with any handler at all
     // the write fails instead. The handler outlives this.
     drop(on(SignalKind::from_raw(libc::SIGXFSZ))?);
@@ -151,7 +153,8 @@
         }
         let mut listeners = Vec::new();
         for at in &operator.listeners {
-            listeners.push(listen(*at).map_err(|e| StartError::Listen(*at, e))?);
+            let listener = retry_shortage(START_PATIENCE, || listen(*at));
+            listeners.push(listener.map_err(|e| StartError::Listen(*at, e))?);
         }
         if let Some(socket) = &operator.control {
             let control = Control::bind(socket).map_err(StartError::Control)?;
--- a/crates/shaletide/src/files.rs
+++ b/crates/shaletide/src/files.rs
@@ -1,5 +1,7 @@
 //! Files as operators hand them in: never read without end.
 
+use crate::daemon::START_PATIENCE;
+use shaletide_net::retry_shortage;
 use std::fs::Metadata;
 use std::io::{Error, Read, Result};
 use std::os::unix::fs::MetadataExt;
@@ -22,7 +24,11 @@
 /// # Errors
 /// What the kernel says.
 pub fn read(path: &Path, most: usize, reading: Reading) -> Result<Vec<u8>> {
-    read_still(path, most, reading, || std::thread::sleep(STILL))
+    let read = || read_still(path, most, reading, || std::thread::sleep(STILL));
+    match reading {
+        Reading::First => retry_shortage(START_PATIENCE, read),
+        Reading::Again => read(), // whoever has it read tries again
+    }
 }
 
 fn read_still(path: &Path, most: usize, reading: Reading, wait: impl FnOnce()) -> Result<Vec<u8>> {
--- a/crates/shaletide/src/main.rs
+++ b/crates/shaletide/src/main.rs
@@ -17,12 +17,13 @@
 
 use clap::Parser;
 use cli::{Cli, Command};
-use daemon::{hangups, stops, Daemon};
+use daemon::{hangups, stops, Daemon, START_PATIENCE};
 use files::Reading;
 use reload::Again;
 use setup::Setup;
 use sha2::{Digest, Sha256};
 use shaletide_config::operator;
+use shaletide_net::retry_shortage;
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 use std::sync::{Arc, OnceLock};
@@ -108,7 +109,8 @@
         eprintln!("shaletide: {why}");
         ExitCode::FAILURE
     };
-    let runtime = match tokio::runtime::Builder::new_current_thread().enable_all().build() {
+    let build = || tokio::runtime::Builder::new_current_thread().enable_all().build();
+    let runtime = match retry_shortage(START_PATIENCE, build) {
         Ok(runtime) => runtime,
         Err(e) => return failed(format!("no event loop: {e}")),
     };
