A test that fails: the disk under the store of record fails as the program starts

With syncs, writes, reads or opens that fail at the start the program ends with status 1, reads and unrecorded classes included, and is not tried again.

Change: crates/soak/tests/record_start.rs, each of the four faults at every call until it is cleared; a store that cannot be right (no database, no folder) remains an error, which passes today.

Measured: fails at the first fault (status 1, 'the store is full').

--- /dev/null
+++ b/crates/soak/tests/record_start.rs
@@ -0,0 +1,85 @@
+//! The start of the program while the disk under its store of record fails.
+
+mod rig;
+
+use rig::*;
+use shaletide_soak::call_faults::CallFault;
+use std::time::{Duration, Instant};
+
+/// Classes of each effect, one backend, and a store of record in that folder.
+fn file(folder: &Folder, backend: &BackendServer) -> String {
+    let store = folder.path().join("record.db");
+    format!(
+        "[[class]]\nname = \"read\"\ndeadline = \"3s\"\naim = \"900ms\"\n\
+         [[class]]\nname = \"pay\"\neffect = \"unsafe\"\ndeadline = \"3s\"\naim = \"900ms\"\n\
+         [record]\npath = {:?}\nwait = \"200ms\"\n\
+         [[pool]]\nname = \"p\"\nboxes = [{{ address = \"{}\", bay = \"a\" }}]\n",
+        store.display().to_string(),
+        backend.address
+    )
+}
+
+fn keyed_pay(key: &str) -> String {
+    format!(
+        "POST /pay/1 HTTP/1.1\r\nHost: s\r\nX-Correlation-Id: {key}\r\nX-Time-Left: 3.0\r\nIdempotency-Key: {key}\r\n\
+         Content-Length: 4\r\n\r\ncash"
+    )
+}
+
+/// Asks until the key is served; until then it may only be refused.
+fn served(proxy: &Serving, key: &str) {
+    let begun = Instant::now();
+    while proxy.ask(&keyed_pay(key)).status() != 200 {
+        assert!(begun.elapsed() < PATIENCE, "{key} is not served");
+        std::thread::sleep(Duration::from_millis(50));
+    }
+}
+
+fn starts_beside_a_disk_that_fails(fault: CallFault) {
+    let folder = Folder::new();
+    let (program, control) = faulty(&folder, Some(folder.path()));
+    let backend = BackendServer::start(|_| ok("done"));
+    let text = file(&folder, &backend);
+    let first = program.serve(&text);
+    served(&first, "before");
+    drop(first); // killed
+
+    control.set(fault, 1.0).expect("the control file");
+    let proxy = program.serve(&text);
+    assert_eq!(proxy.ask(&read(3.0)).status(), 200, "{fault:?}: what needs no record is served");
+    let refused = proxy.ask(&keyed_pay("during"));
+    assert_eq!(refused.status(), 503, "{fault:?}");
+    assert!(refused.header("retry-after").is_some(), "{fault:?}");
+    let sent = backend.count();
+    control.clear().expect("the control file");
+    served(&proxy, "during");
+    assert_eq!(backend.count(), sent + 1, "{fault:?}: sent once");
+    assert_eq!(proxy.ask(&keyed_pay("before")).status(), 409, "{fault:?}: known from before the failure");
+}
+
+#[test]
+fn unrecorded_classes_are_served_while_the_disk_fails_at_the_start() {
+    for fault in [CallFault::DiskSync, CallFault::DiskWrite, CallFault::DiskRead, CallFault::DiskOpen] {
+        starts_beside_a_disk_that_fails(fault);
+    }
+}
+
+/// A store that is not one, or whose folder is not there, remains an error at the start.
+#[test]
+fn store_that_cannot_be_right_ends_the_start() {
+    let folder = Folder::new();
+    let backend = BackendServer::start(|_| ok("done"));
+    let (program, _control) = faulty(&folder, Some(folder.path()));
+    std::fs::write(folder.path().join("record.db"), vec![b'x'; 8192]).expect("a file");
+    let config = folder.path().join("operator.toml");
+    let door = Refusing::new();
+    let text = format!("[[listener]]\naddress = \"{}\"\n{}", door.address(), file(&folder, &backend));
+    for text in [text.clone(), text.replace("record.db", "no/record.db")] {
+        std::fs::write(&config, text).expect("a file");
+        let mut command = program.command(None);
+        let output = command.args(["serve", "--config"]).arg(&config).output().expect("the program");
+        let said = String::from_utf8_lossy(&output.stderr).into_owned();
+        assert_eq!(output.status.code(), Some(1), "{said}");
+        assert!(said.contains("store of record"), "{said}");
+    }
+}
