Start without the store where its disk fails, refuse what needs the record and try again

Cause: Daemon::start opened the store in line and ended the program at any error (keeper::open, StartError::Store). Class: a failure of one part at the start taken for the end of all.

Change: keeper::Record holds the record at work or waiting for its store. The store is opened on a thread of its own (6 s at most at the start, so that a disk that hangs holds up no one either); where its disk fails (slow, busy, full, io) the program serves, refuses classes that need a permit with 503 and Retry-After 1 s, and opens again after 0.1 s, doubling to 2 s. Another store, owner, program or setting, and a folder that is not there, remain errors of the start. A database file that was made by an opening that failed gets its name synced by the next one.

--- a/crates/keeper/src/lib.rs
+++ b/crates/keeper/src/lib.rs
@@ -2,16 +2,21 @@
 //! became of them comes back. A thin shell; what is decided about keys is decided in `shaletide-record`.
 #![forbid(unsafe_code)]
 
+mod opening;
+mod record;
 mod words;
 
+use opening::StoreContents;
+pub use record::Record;
+
 use shaletide_base::{causes, Micros, Time};
 use shaletide_net::{Clock, Host, Recording};
 use shaletide_record::{chain, About, Action, Asked, Event, Fact, KeyId, RecordConfig, Recorder};
 use shaletide_record::{ReplyId, Resolved, Ticket, Verdict};
 pub use shaletide_store::StoreError;
 use shaletide_store::{
-    Anchor, Event as Said, Fate, Head, NoteMaker, Opening, Reading, SendError, SqliteOptions, SqliteStore,
-    Store, Writer, WriterConfig,
+    Anchor, Event as Said, Fate, Head, NoteMaker, Opening, SendError, SqliteOptions, SqliteStore, Store,
+    Writer, WriterConfig,
 };
 use std::cell::{Cell, RefCell};
 use std::collections::{HashMap, VecDeque};
@@ -22,16 +27,12 @@
 use tokio::sync::{mpsc, oneshot, Notify};
 use tracing::{error, info, warn};
 
-/// So many keys are read at a time when the program starts.
-const PAGE: usize = 10_000;
 /// So many rows may wait for the store's thread.
 const QUEUE: usize = 80_000;
 /// And so many bytes: above what the recorder's own bounds let wait.
 const QUEUE_BYTES: usize = 512 << 20;
 /// The queue is tried again after this time where it had no room.
 const ROOM: Duration = Duration::from_millis(20);
-/// An owner that is about to end is waited for.
-const OWNED: Duration = Duration::from_secs(5);
 /// A store that has been down is tried again after this time, as far as clients are told.
 const AGAIN: Micros = Micros(1_000_000);
 /// A store that works on one thing for so long is said to be slow.
@@ -82,17 +83,18 @@
     pub fn open(
         path: &Path, config: RecordConfig, clock: Clock, run: Run,
     ) -> Result<(Rc<Keeper>, mpsc::UnboundedReceiver<Said>), StoreError> {
-        let store = opened(path)?;
-        let head = store.head()?;
-        let mut held = Vec::new();
-        loop {
-            let page = store.keys(held.last().map(|r: &shaletide_record::Remembered| &r.key), PAGE)?;
-            let last = page.len() < PAGE;
-            held.extend(page);
-            if last {
-                break;
-            }
-        }
+        let contents = StoreContents::read(path)?;
+        Keeper::begin(path, contents, config, clock, run)
+    }
+
+    /// Takes over what a store that was opened remembers, and starts its writer.
+    ///
+    /// # Errors
+    /// The system gives no thread.
+    fn begin(
+        path: &Path, contents: StoreContents, config: RecordConfig, clock: Clock, run: Run,
+    ) -> Result<(Rc<Keeper>, mpsc::UnboundedReceiver<Said>), StoreError> {
+        let StoreContents { store, head, held } = contents;
         info!("the store of record has {} rows and {} keys, head {}", head.seq, held.len(), head);
         if head.seq == 0 && held.is_empty() {
             let at = path.canonicalize().unwrap_or_else(|_| path.to_path_buf());
@@ -412,19 +414,6 @@
     }
 }
 
-/// A command that ends a doubt holds a store for a moment while no proxy runs: no reason not to start.
-fn opened(path: &Path) -> Result<SqliteStore, StoreError> {
-    let begun = std::time::Instant::now();
-    loop {
-        match SqliteStore::open(&SqliteOptions::new(path)) {
-            Err(StoreError::Owned { .. }) if begun.elapsed() < OWNED => {
-                std::thread::sleep(Duration::from_millis(50));
-            }
-            done => return done,
-        }
-    }
-}
-
 /// A number that clients do not know, from the standard library's own random state.
 fn secret() -> [u8; 16] {
     use std::hash::{BuildHasher, Hasher};
--- /dev/null
+++ b/crates/keeper/src/opening.rs
@@ -0,0 +1,101 @@
+//! Opening the store and reading what it remembers, on a thread of its own: a disk may fail, or hang.
+
+use crate::StoreError;
+use shaletide_record::Remembered;
+use shaletide_store::{Head, Reading, SqliteOptions, SqliteStore};
+use std::path::{Path, PathBuf};
+use std::sync::mpsc::{channel, Receiver, RecvTimeoutError, TryRecvError};
+use std::time::{Duration, Instant};
+
+/// So many keys are read at a time.
+const PAGE: usize = 10_000;
+/// An owner that is about to end is waited for.
+const OWNED: Duration = Duration::from_secs(5);
+/// The pause between two looks whether a lock has been given up.
+const LOCK_PAUSE: Duration = Duration::from_millis(50);
+/// The pause between two looks at an opening that is under way.
+const LOOK: Duration = Duration::from_millis(20);
+
+/// An open store and what it remembers.
+pub(crate) struct StoreContents {
+    pub store: SqliteStore,
+    pub head: Head,
+    pub held: Vec<Remembered>,
+}
+
+impl StoreContents {
+    /// Opens a store and reads it whole. Blocks.
+    ///
+    /// # Errors
+    /// Of any kind; [`may_open_later`] tells them apart.
+    pub fn read(path: &Path) -> Result<StoreContents, StoreError> {
+        let store = opened(path)?;
+        let head = store.head()?;
+        let mut held: Vec<Remembered> = Vec::new();
+        loop {
+            let page = store.keys(held.last().map(|remembered| &remembered.key), PAGE)?;
+            let is_last = page.len() < PAGE;
+            held.extend(page);
+            if is_last {
+                return Ok(StoreContents { store, head, held });
+            }
+        }
+    }
+}
+
+/// A command that ends a doubt holds a store for a moment while no proxy runs: no reason not to start.
+fn opened(path: &Path) -> Result<SqliteStore, StoreError> {
+    let begun = Instant::now();
+    loop {
+        match SqliteStore::open(&SqliteOptions::new(path)) {
+            Err(StoreError::Owned { .. }) if begun.elapsed() < OWNED => std::thread::sleep(LOCK_PAUSE),
+            done => return done,
+        }
+    }
+}
+
+/// The disk may work again by itself. Everything else wants an operator: another store, another program, another owner,
+/// a setting that is not in force, a folder that is not there.
+pub(crate) fn may_open_later(error: &StoreError) -> bool {
+    matches!(error, StoreError::Slow(_) | StoreError::Busy(_) | StoreError::Full(_) | StoreError::Io(_))
+}
+
+/// An opening that is under way on a thread of its own.
+pub(crate) struct OpeningAttempt(Receiver<Result<StoreContents, StoreError>>);
+
+impl OpeningAttempt {
+    /// Begins one.
+    ///
+    /// # Errors
+    /// The system gives no thread.
+    pub fn begin(path: PathBuf) -> Result<OpeningAttempt, StoreError> {
+        let (tell, told) = channel();
+        let read = move || drop(tell.send(StoreContents::read(&path))); // whoever waited may have ended
+        let thread = std::thread::Builder::new().name("store-open".into()).spawn(read);
+        thread.map(|_| OpeningAttempt(told)).map_err(|e| StoreError::Io(e.into()))
+    }
+
+    /// What has come of it, if that is known within that time. Blocks.
+    pub fn wait(&self, most: Duration) -> Option<Result<StoreContents, StoreError>> {
+        match self.0.recv_timeout(most) {
+            Ok(done) => Some(done),
+            Err(RecvTimeoutError::Timeout) => None,
+            Err(RecvTimeoutError::Disconnected) => Some(Err(ended_without_a_word())),
+        }
+    }
+
+    /// What comes of it, however long that takes.
+    pub async fn done(self) -> Result<StoreContents, StoreError> {
+        loop {
+            match self.0.try_recv() {
+                Ok(done) => return done,
+                Err(TryRecvError::Empty) => tokio::time::sleep(LOOK).await,
+                Err(TryRecvError::Disconnected) => return Err(ended_without_a_word()),
+            }
+        }
+    }
+}
+
+fn ended_without_a_word() -> StoreError {
+    StoreError::Other("the thread that opened the store has ended".into())
+}
--- /dev/null
+++ b/crates/keeper/src/record.rs
@@ -0,0 +1,137 @@
+//! The record as the daemon holds it: at work, or waiting for its store.
+
+use crate::opening::{may_open_later, OpeningAttempt};
+use crate::{Keeper, Run, StoreError, AGAIN};
+use shaletide_base::{causes, Time};
+use shaletide_net::{Host, Recording};
+use shaletide_record::{Asked, Event, RecordConfig, Verdict};
+use std::cell::RefCell;
+use std::path::{Path, PathBuf};
+use std::rc::Rc;
+use std::time::Duration;
+use tracing::{error, info};
+
+/// The start waits so long for the store, and goes on without it then.
+const START_WAIT: Duration = Duration::from_secs(6);
+/// The pause after the first opening that failed; it doubles with each.
+const FIRST_PAUSE: Duration = Duration::from_millis(100);
+/// The longest pause between two openings.
+const LONGEST_PAUSE: Duration = Duration::from_secs(2);
+
+/// The record of one proxy.
+pub struct Record {
+    path: PathBuf,
+    host: Rc<Host>,
+    keeper: RefCell<Option<Rc<Keeper>>>,
+    /// What the next run begins with, as long as there is no keeper.
+    next: RefCell<(RecordConfig, Run)>,
+}
+
+impl Record {
+    /// Opens the store and begins, or goes on without it where its disk fails: then what needs the record is refused,
+    /// and the store is opened again and again. Blocks for some seconds at most. Within a `LocalSet`.
+    ///
+    /// # Errors
+    /// The store cannot be right, whatever becomes of its disk.
+    pub fn open(
+        path: &Path, config: RecordConfig, host: &Rc<Host>, run: Run,
+    ) -> Result<Rc<Record>, StoreError> {
+        let record = Rc::new(Record {
+            path: path.into(),
+            host: host.clone(),
+            keeper: RefCell::default(),
+            next: RefCell::new((config, run)),
+        });
+        let attempt = OpeningAttempt::begin(record.path.clone())?;
+        match attempt.wait(START_WAIT) {
+            Some(Ok(contents)) => record.begin(contents)?,
+            Some(Err(error)) if !may_open_later(&error) => return Err(error),
+            Some(Err(error)) => {
+                record.report_failure(&error);
+                record.wait_for_store(None);
+            }
+            None => {
+                error!("store: not open after {START_WAIT:?}: what needs the record is refused");
+                record.wait_for_store(Some(attempt));
+            }
+        }
+        Ok(record)
+    }
+
+    /// Where the store is.
+    pub fn path(&self) -> &Path {
+        &self.path
+    }
+
+    /// The keeper, once the store is open.
+    pub fn keeper(&self) -> Option<Rc<Keeper>> {
+        self.keeper.borrow().clone()
+    }
+
+    /// Another configuration, and the digest of the file that says it.
+    pub fn configure(&self, config: RecordConfig, digest: String) {
+        match self.keeper() {
+            Some(keeper) => keeper.configure(config, digest),
+            None => {
+                let mut next = self.next.borrow_mut();
+                next.0 = config;
+                next.1.digest = digest;
+            }
+        }
+    }
+
+    fn begin(&self, contents: crate::StoreContents) -> Result<(), StoreError> {
+        let (config, run) = self.next.borrow().clone();
+        let (keeper, heard) = Keeper::begin(&self.path, contents, config, self.host.clock, run)?;
+        keeper.serve(&self.host);
+        tokio::task::spawn_local(keeper.clone().work(heard));
+        self.keeper.replace(Some(keeper));
+        Ok(())
+    }
+
+    fn report_failure(&self, error: &StoreError) {
+        let (word, path) = (error.word(), self.path.display());
+        error!("store: {word}: {path} does not open, what needs the record is refused: {}", causes(error));
+    }
+
+    /// Refuses what needs the record until the store opens; `attempt` may be under way already.
+    fn wait_for_store(self: &Rc<Record>, attempt: Option<OpeningAttempt>) {
+        self.host.record(self.clone());
+        tokio::task::spawn_local(self.clone().open_later(attempt));
+    }
+
+    async fn open_later(self: Rc<Record>, mut attempt: Option<OpeningAttempt>) {
+        let (mut pause, mut said) = (FIRST_PAUSE, "");
+        loop {
+            let opened = match attempt.take().map_or_else(|| OpeningAttempt::begin(self.path.clone()), Ok) {
+                Ok(attempt) => attempt.done().await,
+                Err(error) => Err(error),
+            };
+            match opened.and_then(|contents| self.begin(contents)) {
+                Ok(()) => return info!("store: open, what needs the record is taken again"),
+                // Each kind of failure once.
+                Err(error) if error.word() != said => {
+                    self.report_failure(&error);
+                    said = error.word();
+                }
+                Err(_) => {}
+            }
+            tokio::time::sleep(pause).await;
+            pause = (pause * 2).min(LONGEST_PAUSE);
+        }
+    }
+}
+
+/// As long as the store is not open.
+impl Recording for Record {
+    /// Classes of which only facts are kept are served: their facts are lost meanwhile.
+    fn records(&self, class: &str) -> bool {
+        self.next.borrow().0.needs_permit(class)
+    }
+
+    fn ask(&self, _: Time, _: &Asked<'_>) -> Verdict {
+        Verdict::Refuse(AGAIN)
+    }
+
+    fn tell(&self, _: Time, _: Event) {}
+}
--- a/crates/record/src/config.rs
+++ b/crates/record/src/config.rs
@@ -19,6 +19,13 @@
     pub bounds: Bounds,
 }
 
+impl RecordConfig {
+    /// No request of that class may go out before its intent is durable.
+    pub fn needs_permit(&self, class: &str) -> bool {
+        self.classes.get(class).is_some_and(|rule| rule.permit)
+    }
+}
+
 /// What is done with the requests of a class.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct ClassRule {
--- a/crates/shaletide/src/commands.rs
+++ b/crates/shaletide/src/commands.rs
@@ -3,23 +3,32 @@
 use crate::record::words;
 use shaletide_base::Time;
 use shaletide_control::{Command, Reply};
-use shaletide_keeper::Keeper;
+use shaletide_keeper::Record;
 use shaletide_record::{Fact, KeyId};
 use shaletide_store::{Query, Reading, SqliteReader};
-use std::path::PathBuf;
 use std::rc::Rc;
 
-/// Carries one command out. `store`: where the keeper's store is.
-pub async fn handle(keeper: Option<(Rc<Keeper>, PathBuf)>, command: Command) -> Reply {
-    let Some((keeper, store)) = keeper else {
+/// The store is down, or was not open yet.
+const STORE_DOWN: &str = "the store takes nothing now";
+
+/// Carries one command out.
+pub async fn handle(record: Option<Rc<Record>>, command: Command) -> Reply {
+    let Some(record) = record else {
         return match command {
             Command::Ping {} => Reply::Done("at work, without a store of record".into()),
             _ => Reply::Refused("this proxy has no store of record".into()),
         };
     };
+    let Some(keeper) = record.keeper() else {
+        return match command {
+            Command::Ping {} => Reply::Done(format!("at work; {STORE_DOWN}")),
+            _ => Reply::Refused(STORE_DOWN.into()),
+        };
+    };
+    let store = record.path().to_path_buf();
     match command {
         Command::Ping {} => Reply::Done(match keeper.down() {
-            true => "at work; the store takes nothing now".into(),
+            true => format!("at work; {STORE_DOWN}"),
             false => "at work".into(),
         }),
         Command::Resolve { tenant, class, key, ran, by, note } => {
@@ -35,7 +44,7 @@
             // Beside the event loop: a disk may hang.
             let found = tokio::task::spawn_blocking(move || has_row(&store, of)).await;
             match found {
-                Ok(Ok(true)) if keeper.down() => Reply::Refused("the store takes nothing now".into()),
+                Ok(Ok(true)) if keeper.down() => Reply::Refused(STORE_DOWN.into()),
                 Ok(Ok(true)) => {
                     keeper.note(Fact::Correction { of, by, text });
                     match keeper.settled().await {
--- a/crates/shaletide/src/daemon.rs
+++ b/crates/shaletide/src/daemon.rs
@@ -8,7 +8,7 @@
 use shaletide_base::causes;
 use shaletide_control::{Control, ControlError};
 use shaletide_http::{listen, Rules, Server};
-use shaletide_keeper::{Keeper, Run, StoreError};
+use shaletide_keeper::{Record, Run, StoreError};
 use shaletide_net::{retry_shortage, span, Clock, Host};
 use shaletide_watch::{Place, Terms};
 use std::cell::Cell;
@@ -115,7 +115,7 @@
     setup: Arc<Setup>,
     seed: u64,
     descriptors: Descriptors,
-    keeper: Option<Rc<Keeper>>,
+    record: Option<Rc<Record>>,
     host: Rc<Host>,
     server: Rc<Server>,
     listeners: Vec<tokio::net::TcpListener>,
@@ -139,8 +139,8 @@
             host.self_check(operator.limits.drain_grace);
         }
         // What was in flight when the program ended is known before anything is asked.
-        let keeper = match &setup.record {
-            Some(record) => Some(keeper(record, &host, &operator.proxy.name)?),
+        let record = match &setup.record {
+            Some(record) => Some(open_record(record, &host, &operator.proxy.name)?),
             None => None,
         };
         let first = Some((&setup.zones[..], &setup.kinds[..]));
@@ -158,8 +158,8 @@
         }
         if let Some(socket) = &operator.control {
             let control = Control::bind(socket).map_err(StartError::Control)?;
-            let kept = keeper.clone().zip(setup.record.as_ref().map(|record| record.path.clone()));
-            let handler = move |command| commands::handle(kept.clone(), command);
+            let record = record.clone();
+            let handler = move |command| commands::handle(record.clone(), command);
             tokio::task::spawn_local(control.serve(handler));
         }
         let rules = Rules::new(setup.rules(&ids));
@@ -168,7 +168,7 @@
         tokio::task::spawn_local(host.clone().sweep());
         let followers = HashMap::new();
         let setup = Arc::new(setup);
-        let mut daemon = Daemon { setup, seed, descriptors, keeper, host, server, listeners, followers };
+        let mut daemon = Daemon { setup, seed, descriptors, record, host, server, listeners, followers };
         daemon.follow(&ids, begun);
         Ok(daemon)
     }
@@ -193,12 +193,12 @@
         mut self, again: Again, mut hangup: Option<Signal>, stop: impl Future<Output = ()>,
     ) -> (u64, Vec<String>) {
         let listeners = std::mem::take(&mut self.listeners);
-        let (host, server, keeper) = (self.host.clone(), self.server.clone(), self.keeper.clone());
+        let (host, server, record) = (self.host.clone(), self.server.clone(), self.record.clone());
         let reporter = tokio::task::spawn_local(async move {
             loop {
                 tokio::time::sleep(REPORT_EVERY).await;
                 host.report(&server.report());
-                keeper.iter().for_each(|keeper| keeper.report());
+                record.iter().filter_map(|record| record.keeper()).for_each(|keeper| keeper.report());
             }
         });
         let stopping = Cell::new(None);
@@ -220,7 +220,7 @@
             }
         }
         reporter.abort();
-        if let Some(keeper) = &self.keeper {
+        if let Some(keeper) = self.record.as_ref().and_then(|record| record.keeper()) {
             let now = Instant::now();
             let end = stopping.get().unwrap_or(now) + self.longest_stop() + ENDED;
             let end = end.max(now + LAST_WRITES); // where earlier rules gave requests more time
@@ -248,8 +248,8 @@
         let ids = self.host.setup(None, zone, self.seed, network, next.pools());
         let ids = ids.map_err(|e| format!("{e}"))?; // the reader has checked all of it before
         self.server.reload(Rules::new(next.rules(&ids)));
-        if let (Some(keeper), Some(record)) = (&self.keeper, &next.record) {
-            keeper.configure(record.config.clone(), record.digest.clone());
+        if let (Some(record), Some(next)) = (&self.record, &next.record) {
+            record.configure(next.config.clone(), next.digest.clone());
         }
         (self.setup, self.descriptors) = (Arc::new(next), descriptors);
         self.follow(&ids, asked);
@@ -301,15 +301,12 @@
     }
 }
 
-/// The recorder at work for that host.
-fn keeper(record: &RecordSetup, host: &Rc<Host>, proxy: &str) -> Result<Rc<Keeper>, StartError> {
+/// The record for that host.
+fn open_record(record: &RecordSetup, host: &Rc<Host>, proxy: &str) -> Result<Rc<Record>, StartError> {
     let run =
         Run { proxy: proxy.into(), version: env!("CARGO_PKG_VERSION").into(), digest: record.digest.clone() };
-    let opened = Keeper::open(&record.path, record.config.clone(), host.clock, run);
-    let (keeper, heard) = opened.map_err(|e| StartError::Store(record.path.clone(), Box::new(e)))?;
-    keeper.serve(host);
-    tokio::task::spawn_local(keeper.clone().work(heard));
-    Ok(keeper)
+    let opened = Record::open(&record.path, record.config.clone(), host, run);
+    opened.map_err(|e| StartError::Store(record.path.clone(), Box::new(e)))
 }
 
 /// Until the signal comes; for ever where none is heeded.
--- a/crates/store/src/sqlite/files.rs
+++ b/crates/store/src/sqlite/files.rs
@@ -46,7 +46,16 @@
         match OpenOptions::new().write(true).create_new(true).mode(MODE).open(path) {
             // The name must be durable before anything in the file is.
             Ok(_) => sync_parent(path)?,
-            Err(error) if error.kind() == ErrorKind::AlreadyExists => {}
+            // An earlier opening may have made the file and have failed before its name was durable.
+            Err(error) if error.kind() == ErrorKind::AlreadyExists => {
+                if path.metadata().is_ok_and(|found| found.len() == 0) {
+                    sync_parent(path)?;
+                }
+            }
+            // The folder is not there.
+            Err(error) if error.kind() == ErrorKind::NotFound => {
+                return Err(StoreError::Gone { path: path.to_path_buf() });
+            }
             Err(error) => return Err(classify_io(error)),
         }
     }
