Count why requests are given up and why clients' connections end; check that none ends unanswered

The 5 s report told how many requests were refused and how many connections there were, not why; nothing at run time said that a connection was closed by the proxy while a request on it had no answer.

Change: balancer::GiveUpCounts (overloaded, out of time, no backend left, no room, not repeatable, retry budget) and http::CloseReason (client, announced, stopping, evicted, head timeout, malformed, not read) stand in the report's line; a close's reason stands in its trace event. Server::note_closed and check_all_answered hold that no connection is closed by the proxy, and no program ends, while a request that was read has no answer: a violation is counted with those of the self-check and logged.

--- a/crates/balancer/src/lib.rs
+++ b/crates/balancer/src/lib.rs
@@ -5,12 +5,14 @@
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
+mod give_up;
 mod interface;
 mod loads;
 mod reach;
 mod rules;
 mod state;
 
+pub use give_up::{GiveUpCounts, GiveUpReason};
 pub use interface::*;
 pub use rules::{halb_shares, Balancer};
 pub use shaletide_base::*;
--- a/crates/balancer/src/rules.rs
+++ b/crates/balancer/src/rules.rs
@@ -5,6 +5,7 @@
 //! Ordinary path: `solve` turns the arrival rate and the learned speeds into a share per kind (HALB),
 //! `draw` picks a kind by share and a backend inside it at random. All else is a departure for trouble.
 
+use crate::give_up::{GiveUpCounts, GiveUpReason};
 use crate::interface::*;
 use crate::loads::Loads;
 use crate::reach::Reach;
@@ -148,6 +149,7 @@
     /// Nothing is held any more.
     closing: bool,
     log_at: Time,
+    given_up: GiveUpCounts,
     actions: Vec<Action>,
 }
 
@@ -183,11 +185,17 @@
             ask: ((cfg.discovery != Discovery::Push).then_some(Time(0)), 0.0),
             closing: false,
             log_at: Time(0),
+            given_up: GiveUpCounts::default(),
             actions: Vec::new(),
             cfg,
         })
     }
 
+    /// Requests given up since the last call, by reason.
+    pub fn take_given_up(&mut self) -> GiveUpCounts {
+        std::mem::take(&mut self.given_up)
+    }
+
     /// Takes one event that happened at `now` and adds the actions it calls for. `shared` is one allowance
     /// of all pools.
     pub fn handle(&mut self, now: Time, event: Event, shared: &mut Allowance, actions: &mut Vec<Action>) {
@@ -616,7 +624,7 @@
             next = next.min(last_start - margin);
         }
         self.look_at = next.max(now + self.cfg.tick);
-        over.into_iter().for_each(|id| self.give_up(now, id));
+        over.into_iter().for_each(|id| self.give_up(now, id, GiveUpReason::OutOfTime));
     }
 
     /// What a served request of the class usually takes; before any was served, a quarter of its aim.
@@ -885,8 +893,16 @@
             let Some(mut r) = self.requests.remove(&id) else { continue };
             let (again, work) = (r.sent.iter().any(|s| !s.unsent), self.work(r.class));
             let refused = !again && self.crowded(r.value, r.luck);
-            let sendable = self.may_send(now, &r) && (!again || shared.extra >= 1.0) && !refused;
+            let repeatable = self.may_send(now, &r);
+            let sendable = repeatable && (!again || shared.extra >= 1.0) && !refused;
             let drawn = if sendable { Some(self.draw(now, &r)) } else { None };
+            let reason = match drawn {
+                Some(Drawn::NoneLeft) => GiveUpReason::NoBackendLeft,
+                Some(_) => GiveUpReason::NoRoom,
+                None if !repeatable => GiveUpReason::NotRepeatable,
+                None if refused => GiveUpReason::Overloaded,
+                None => GiveUpReason::RetryBudget,
+            };
             let over = match drawn {
                 Some(Drawn::One(backend)) => {
                     shared.extra -= f64::from(again);
@@ -911,7 +927,9 @@
                 None => !r.out(),
             };
             self.requests.insert(id, r);
-            over.then(|| self.give_up(now, id));
+            if over {
+                self.give_up(now, id, reason);
+            }
         }
     }
 
@@ -939,8 +957,9 @@
     }
 
     /// Final answer for a request that will not be served.
-    fn give_up(&mut self, now: Time, id: RequestId) {
+    fn give_up(&mut self, now: Time, id: RequestId, reason: GiveUpReason) {
         let Some(r) = self.requests.get(&id) else { return };
+        self.given_up.add(reason);
         // By then what is out now has made room, or an ejected backend is tried again.
         let ready = self.kinds.values().any(|k| k.ready > 0.0);
         let retry_after = if ready { self.usual(r.class).times(2.0) } else { Micros::from_secs(EJECT_TERM) };
--- a/crates/http/src/accept.rs
+++ b/crates/http/src/accept.rs
@@ -74,10 +74,10 @@
         self.clients.borrow_mut().insert(key, client.clone());
         let server = self.clone();
         tokio::task::spawn_local(async move {
-            let whole = server.serve(&client).await;
+            let (reason, whole) = server.serve(&client).await;
+            server.note_closed(&client, reason);
             client.release_slot();
             server.clients.borrow_mut().remove(&key);
-            client.trace_closed(server.host.clock);
             server.connection_ended.notify_one();
             if whole && client.announced_close.get() {
                 server.linger(&client).await;
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -4,6 +4,7 @@
 
 mod accept;
 mod bodies;
+mod close_reason;
 mod connection;
 mod eviction;
 mod limits;
--- a/crates/http/src/serve.rs
+++ b/crates/http/src/serve.rs
@@ -1,5 +1,6 @@
 //! Serves the requests of one connection until it ends.
 
+use crate::close_reason::CloseReason;
 use crate::connection::Client;
 use crate::limits::MAX_LINGERING;
 use crate::server::Server;
@@ -32,8 +33,36 @@
         }
     }
 
-    /// Serves requests until the connection ends. Whether its last response was written completely.
-    pub(crate) async fn serve(self: &Rc<Self>, client: &Rc<Client>) -> bool {
+    /// Counts a connection that has ended, and checks that no request on it was left without an answer by the proxy's
+    /// doing.
+    pub(crate) fn note_closed(&self, client: &Client, reason: CloseReason) {
+        self.closed.add(reason);
+        client.trace_closed(self.host.clock, reason);
+        if client.busy.get() && reason != CloseReason::Client {
+            let (number, reason) = (client.number, reason.name());
+            self.host.rule_broken(&format!(
+                "connection {number} was closed ({reason}) while a request on it had no answer"
+            ));
+        }
+    }
+
+    /// Why a connection that ended without an error has ended.
+    fn reason_of_end(&self, client: &Client) -> CloseReason {
+        if client.busy.get() {
+            CloseReason::Client // only its end drops a request that is being answered
+        } else if client.announced_close.get() {
+            CloseReason::Announced
+        } else if client.is_evicted() {
+            CloseReason::Evicted
+        } else if self.stop_deadline.get().is_some() && !client.stream.peer_closed() {
+            CloseReason::Stopping
+        } else {
+            CloseReason::Client
+        }
+    }
+
+    /// Serves requests until the connection ends. Why it ended, and whether its last response was written completely.
+    pub(crate) async fn serve(self: &Rc<Self>, client: &Rc<Client>) -> (CloseReason, bool) {
         let service = service_fn(|request| async {
             client.busy.set(true);
             let answer = self.answer(client, request).await;
@@ -50,11 +79,14 @@
         let mut cut = pin!(tokio::time::sleep(Duration::MAX));
         loop {
             tokio::select! {
-                ended = conn.as_mut() => return ended.is_ok(),
+                ended = conn.as_mut() => return match ended {
+                    Ok(()) => (self.reason_of_end(client), true),
+                    Err(error) => (CloseReason::of_error(&error), false),
+                },
                 // Checked when the timeout fires: a request that arrived meanwhile is answered, and the timeout starts anew.
                 _ = cut.as_mut(), if client.evicted.get() => {
                     if !client.busy.get() && span(self.host.clock.now() - client.idle_since.get()) >= CLOSE_TIMEOUT {
-                        return false;
+                        return (CloseReason::NotRead, false);
                     }
                     cut.as_mut().reset(tokio::time::Instant::now() + CLOSE_TIMEOUT);
                 }
@@ -64,7 +96,7 @@
                     }
                     let idle = !client.busy.get() && !client.stream.has_unread_bytes();
                     if client.evicted.get() && !client.proven.get() && idle {
-                        return false; // no request of it is unanswered
+                        return (CloseReason::Evicted, false); // no request of it is unanswered
                     }
                     // A request that has just arrived is answered first; `answer` then ends the connection.
                     if client.busy.get() || !client.stream.has_pending_input() {
--- a/crates/http/src/server.rs
+++ b/crates/http/src/server.rs
@@ -1,6 +1,7 @@
 //! The server's state: connections, request bodies, request ids and counters. The modules beside this one implement
 //! what it does: accept, serve, proxy, evict, shut down.
 
+use crate::close_reason::CloseCounts;
 use crate::connection::{Client, ConnectionCounters};
 use crate::rules::Rules;
 use hyper::header::HeaderValue;
@@ -41,6 +42,8 @@
     pub(crate) accepted: Cell<u64>,
     pub(crate) evicted: Cell<u64>,
     pub(crate) rejected: Cell<u64>,
+    /// Connections that have ended, by reason, since the last report.
+    pub(crate) closed: CloseCounts,
     /// Bodies given up as too slow, and requests refused for want of room for theirs, since the last report.
     pub(crate) slow_bodies: Cell<u64>,
     pub(crate) bodies_without_room: Cell<u64>,
@@ -68,6 +71,7 @@
             accepted: Cell::default(),
             evicted: Cell::default(),
             rejected: Cell::default(),
+            closed: CloseCounts::default(),
             slow_bodies: Cell::default(),
             bodies_without_room: Cell::default(),
         })
@@ -104,9 +108,10 @@
         let unproven = self.unproven();
         let clients = self.clients();
         let (slow, crowded) = (self.slow_bodies.take(), self.bodies_without_room.take());
+        let closed = self.closed.take();
         format!(
             "clients {clients} unproven {unproven} accepted {accepted} evicted {evicted} turned away {faults} \
-             slow bodies {slow} without room {crowded}"
+             slow bodies {slow} without room {crowded} closed: {closed};"
         )
     }
 }
--- a/crates/http/src/shutdown.rs
+++ b/crates/http/src/shutdown.rs
@@ -76,12 +76,22 @@
                 for _ in 0..READ_TURNS {
                     tokio::task::yield_now().await;
                 }
-                return;
+                return self.check_all_answered();
             }
             let _ = tokio::time::timeout(IDLE_CHECK_INTERVAL, self.connection_ended.notified()).await;
         }
     }
 
+    /// The program ends: no request that was read may be left without an answer.
+    fn check_all_answered(&self) {
+        let clients = self.clients.borrow();
+        let open =
+            clients.values().filter(|client| client.busy.get() && !client.stream.peer_closed()).count();
+        if open > 0 {
+            self.host.rule_broken(&format!("the program ends while {open} requests have no answer"));
+        }
+    }
+
     /// Admits the connections in a listener's accept queue up to the limit. Whether the queue is empty. The kernel itself
     /// is asked: the event loop may not have heard of the last ones.
     fn drain_backlog(self: &Rc<Self>, listener: &TcpListener) -> bool {
--- a/crates/http/src/trace.rs
+++ b/crates/http/src/trace.rs
@@ -1,5 +1,6 @@
 //! Log events of the client side of a request: see [`shaletide_net::RequestTrace`].
 
+use crate::close_reason::CloseReason;
 use crate::connection::Client;
 use crate::rules::Rules;
 use hyper::http::request::Parts;
@@ -10,20 +11,21 @@
 impl Client {
     /// The connection was accepted.
     pub(crate) fn trace_accepted(&self) {
-        self.trace_connection("accepted", || self.accepted_at);
+        self.trace_connection("accepted", || self.accepted_at, None);
     }
 
     /// The connection has ended.
-    pub(crate) fn trace_closed(&self, clock: Clock) {
-        self.trace_connection("connection_closed", || clock.now());
+    pub(crate) fn trace_closed(&self, clock: Clock, reason: CloseReason) {
+        self.trace_connection("connection_closed", || clock.now(), Some(reason.name()));
     }
 
     /// The time is asked for only where the event is logged.
-    fn trace_connection(&self, event: &str, now: impl FnOnce() -> Time) {
+    fn trace_connection(&self, event: &str, now: impl FnOnce() -> Time, reason: Option<&str>) {
         tracing::trace!(
             target: REQUEST_TARGET,
             event,
             connection = self.number,
+            reason,
             since_accept_us = (now() - self.accepted_at).0,
         );
     }
--- a/crates/net/src/host.rs
+++ b/crates/net/src/host.rs
@@ -282,6 +282,17 @@
         s.check = Some(Check { monitor: Monitor::new(rules), broken: Vec::new(), count: 0 });
     }
 
+    /// A rule that the caller watches over was broken: it counts and has a line, like those of the self-check.
+    pub fn rule_broken(&self, text: &str) {
+        error!("self-check: {text}");
+        if let Some(check) = &mut self.state.borrow_mut().check {
+            check.count += 1;
+            if check.broken.len() < BROKEN {
+                check.broken.push(text.into());
+            }
+        }
+    }
+
     /// How many rules were broken since the self-check began, and the first of them.
     pub fn broken(&self) -> (u64, Vec<String>) {
         let s = self.state.borrow();
@@ -832,9 +843,10 @@
         let mut s = self.state.borrow_mut();
         let c = std::mem::take(&mut s.counts);
         let opened = std::mem::take(&mut s.lines.opened);
+        let given_up = s.engine.policy().take_given_up();
         info!(
             "requests {} served {} refused {} failed {} overdue {} gone {}; sent {} spoilt {} ended {} unfit {} \
-             unconnected {}; open requests {} {} upstreams {} connects {} lag {} us",
+             unconnected {}; given up: {}; open requests {} {} upstreams {} connects {} lag {} us",
             c.requests,
             c.served,
             c.refused,
@@ -846,6 +858,7 @@
             c.ended,
             c.unfit,
             c.unconnected,
+            given_up,
             s.open.len(),
             clients,
             s.engine.open_connections(),
--- a/crates/routing/src/pools.rs
+++ b/crates/routing/src/pools.rs
@@ -5,7 +5,9 @@
 //! is asked. The shell calls [`Pools::handle`] and carries out what comes back.
 
 use shaletide_balancer as module;
-use shaletide_balancer::{Allowance, Arrival, AttemptEnd, Balancer, Config, ConfigError, Handover, Standing};
+use shaletide_balancer::{
+    Allowance, Arrival, AttemptEnd, Balancer, Config, ConfigError, GiveUpCounts, Handover, Standing,
+};
 use shaletide_base::*;
 use std::collections::{BTreeMap, VecDeque};
 use std::rc::Rc;
@@ -205,6 +207,13 @@
         }
     }
 
+    /// Requests given up by the modules of all pools since the last call, by reason.
+    pub fn take_given_up(&mut self) -> GiveUpCounts {
+        let mut all = GiveUpCounts::default();
+        self.pools.values_mut().for_each(|pool| all.merge(pool.module.take_given_up()));
+        all
+    }
+
     /// The pools that there are.
     pub fn open(&self) -> impl Iterator<Item = PoolId> + '_ {
         self.pools.iter().filter(|(_, p)| !p.closing).map(|(id, _)| *id)
