Take a served key for younger than the wall clock says by what clocks may be wrong

Cause: Recorder::restore took the wall clock for true. Class: a time of an earlier process compared with an own one.

Change: a key's age across a restart counts as less by MAX_WALL_CLOCK_ERROR (two hours: a step of an hour either way on both sides), and none is kept longer than its whole time from the restart. The constant stands in base, for lists too.

--- a/crates/base/src/lib.rs
+++ b/crates/base/src/lib.rs
@@ -57,6 +57,10 @@
     }
 }
 
+/// Times by wall clocks are believed up to this error, all machines' errors taken together: two steps of an hour. Whatever
+/// a rule rests on goes by the monotonic clock, or keeps this distance.
+pub const MAX_WALL_CLOCK_ERROR: Micros = Micros(2 * 3_600_000_000);
+
 macro_rules! ids {
     ($($(#[$doc:meta])* $name:ident($inner:ty);)*) => {$(
         $(#[$doc])*
--- a/crates/membership/src/starts.rs
+++ b/crates/membership/src/starts.rs
@@ -17,12 +17,9 @@
 //! no plausible error of a clock makes them cold.
 
 use crate::list::Endpoint;
-use shaletide_base::{BackendState, ListUpdate, Micros, PoolId, Time};
+use shaletide_base::{BackendState, ListUpdate, Micros, PoolId, Time, MAX_WALL_CLOCK_ERROR};
 use std::collections::{BTreeMap, BTreeSet};
 
-/// Wall clocks are wrong by no more than this, all machines' errors taken together: two steps of an hour.
-const MAX_CLOCK_ERROR: Micros = Micros(2 * 3_600_000_000);
-
 /// A backend in the list of a pool.
 type Name = (PoolId, String);
 
@@ -89,7 +86,7 @@
             return start.local;
         }
         let ahead = lead(now, listed);
-        let is_surely_warm = ahead > (self.ramp.0.saturating_add(MAX_CLOCK_ERROR.0)) as i64;
+        let is_surely_warm = ahead > (self.ramp.0.saturating_add(MAX_WALL_CLOCK_ERROR.0)) as i64;
         let least_age = self.lead.second.as_ref().map_or(0, |(_, bound)| ahead.saturating_sub(*bound));
         let local = (!is_surely_warm).then(|| now - Micros(least_age.max(0) as u64));
         self.starts.insert(name, Start { listed, local });
--- a/crates/record/src/recorder.rs
+++ b/crates/record/src/recorder.rs
@@ -11,7 +11,7 @@
 use crate::request::{Followed, Held, Live};
 use crate::row::{Claim, KeyId, KeyState, Remembered, Write};
 use crate::served::Served;
-use shaletide_base::{AttemptNo, Micros, RequestId, Time};
+use shaletide_base::{AttemptNo, Micros, RequestId, Time, MAX_WALL_CLOCK_ERROR};
 use std::collections::{BTreeMap, BTreeSet};
 
 /// Decides about keys, and says what is written.
@@ -63,15 +63,17 @@
     /// Takes over what the store holds from earlier runs, before anything is asked.
     ///
     /// A key in flight is in doubt: its intent was durable, and its first byte may have gone out. How long a
-    /// served one is kept yet goes by the wall clock, the only one that lives through a restart; a time that lies
-    /// ahead of it counts as now.
+    /// served one is kept yet goes by the wall clock, the only one that lives through a restart, which may be wrong: a key
+    /// is taken for younger by [`MAX_WALL_CLOCK_ERROR`] than the clock says, and kept no longer than its whole time from
+    /// now. So none is free too early, and one may be known that much longer.
     pub fn restore(&mut self, now: Time, mut held: Vec<Remembered>, out: &mut Vec<Action>) {
         held.sort_by_key(|r| r.seq);
         let (wall, keep) = (self.wall(now), self.config.keep);
         for Remembered { key, state, since, seq } in held {
             match state {
                 KeyState::Served => {
-                    let left = Micros(keep.0.saturating_sub((wall - since).0));
+                    let age = Micros((wall - since).0.saturating_sub(MAX_WALL_CLOCK_ERROR.0));
+                    let left = Micros(keep.0.saturating_sub(age.0));
                     self.served.add(&key, seq, now + left, keep, self.config.bounds.served);
                 }
                 KeyState::Doubt => drop(self.live.insert(key, Live::Doubt { resolving: false })),
