Take the decision rules apart by concern: admission, draw, ejection, retry, shares, slow start

Pure moves, but for pub(super) and use lines; decisions are unchanged.

Change: rules/{admission,draw,ejection,retry,shares,slow_start}.rs; rules.rs keeps the state, the events and what time alone calls for (502 lines).

--- /dev/null
+++ b/crates/balancer/src/rules/retry.rs
@@ -0,0 +1,68 @@
+//! Retry: whether a request may be sent again, and what its client is told where it is not.
+
+use super::*;
+
+impl Balancer {
+    pub(super) fn may_send(&self, now: Time, r: &Request) -> bool {
+        let safe = |s: &Sent| match self.cfg.classes[r.class].effect {
+            Effect::Free => true,
+            Effect::Keyed(_, window) => s.never_ran || now < repeat_end(window, s.at),
+            Effect::Unsafe => s.never_ran,
+        };
+        let alone = self.cfg.second_copies || !r.out();
+        alone && r.sent.len() < self.cfg.max_attempts as usize && r.sent.iter().all(safe)
+    }
+
+    pub(super) fn send(&mut self, now: Time, id: RequestId, r: &mut Request, to: BackendId, work: f64) {
+        let Some(p) = self.peers.get_mut(&to) else { return };
+        let attempt = AttemptNo(r.sent.len() as u32);
+        let send_by = match self.cfg.classes[r.class].effect {
+            Effect::Keyed(_, window) => {
+                repeat_until(window, r.sent.iter().filter(|s| !s.never_ran).map(|s| s.at))
+            }
+            _ => None,
+        };
+        r.sent.push(Sent { to: p.entry.clone(), at: now, out: true, never_ran: false, unsent: false });
+        p.out += 1;
+        p.spent.retain(|s| now - s.0 < self.cfg.fall_window);
+        p.spent.push((now, work));
+        let trial = p.ejected.is_some();
+        self.attempts.insert((id, attempt), Flight { to, class: r.class, sent: now });
+        self.actions.push(Action::Dispatch { request: id, attempt, backend: to, send_by });
+        if trial {
+            self.recount();
+        }
+        let quiet = now + self.quiet(r.class);
+        self.look_at = self.look_at.min(quiet).min(r.deadline - self.cfg.tick);
+    }
+
+    /// Final answer for a request that will not be served.
+    pub(super) fn give_up(&mut self, now: Time, id: RequestId, reason: GiveUpReason) {
+        let Some(r) = self.requests.get(&id) else { return };
+        self.given_up.add(reason);
+        // By then what is out now has made room, or an ejected backend is tried again.
+        let ready = self.kinds.values().any(|k| k.ready > 0.0);
+        let retry_after = if ready { self.usual(r.class).times(2.0) } else { Micros::from_secs(EJECT_TERM) };
+        // A client that is told in whole seconds comes back that much later.
+        let back = now + Micros::from_secs(retry_after.secs().ceil());
+        let dropped = |s: &Sent| match self.cfg.classes[r.class].effect {
+            Effect::Keyed(KeyScope::All, window) => {
+                self.cfg.only_realm == Some(s.to.realm) && back < repeat_end(window, s.at)
+            }
+            effect => effect == Effect::Free,
+        };
+        let harmless = r.sent.iter().all(|s| s.never_ran || dropped(s));
+        let (refused, failed) =
+            (Action::Refuse { request: id, retry_after }, Action::Fail { request: id, retry_after });
+        self.actions.push(if harmless { refused } else { failed });
+        self.close(id);
+    }
+
+    pub(super) fn close(&mut self, id: RequestId) {
+        let Some(r) = self.requests.remove(&id) else { return };
+        self.held.retain(|h| *h != id);
+        for (no, _) in r.sent.iter().enumerate().filter(|(_, s)| s.out && self.cfg.cancel) {
+            self.actions.push(Action::Cancel { request: id, attempt: AttemptNo(no as u32) });
+        }
+    }
+}
--- /dev/null
+++ b/crates/balancer/src/rules/shares.rs
@@ -0,0 +1,152 @@
+//! Shares: the part of the traffic for each kind of backend by HALB, and how many each may hold.
+
+use super::slow_start::warmth;
+use super::*;
+
+/// HALB: the clamped M/G/1/PS optimum. For kinds of (ready count, speed of one backend) and the arrival
+/// rate, the part of the traffic for each kind; all zero when nothing is ready.
+pub fn halb_shares(kinds: &[(f64, f64)], rate: Option<f64>) -> Vec<f64> {
+    let split = |on: &dyn Fn(&(f64, f64)) -> bool| -> Vec<f64> {
+        let total: f64 = kinds.iter().filter(|k| on(k)).map(|k| k.0).sum();
+        kinds.iter().map(|k| if on(k) && total > 0.0 { k.0 / total } else { 0.0 }).collect()
+    };
+    let Some(rate) = rate else { return split(&|_| true) }; // no rate yet: by ready counts
+    let mut live = kinds.to_vec();
+    loop {
+        let (roots, speeds) = live.iter().fold((0.0, 0.0), |s, k| (s.0 + k.0 * k.1.sqrt(), s.1 + k.0 * k.1));
+        if rate <= speeds * 1e-6 || speeds <= 0.0 {
+            let best = live.iter().filter(|k| k.0 > 0.0).map(|k| k.1).fold(0.0, f64::max);
+            return split(&|k| k.1 == best); // the limit: the fastest kind takes all
+        }
+        let flow = |k: &(f64, f64)| k.0 * k.1 - k.0 * k.1.sqrt() * (speeds - rate) / roots;
+        let flows: Vec<f64> = live.iter().map(flow).collect();
+        if flows.iter().all(|f| *f >= 0.0) {
+            return flows.iter().map(|f| f / rate).collect();
+        }
+        live.iter_mut().zip(&flows).filter(|(_, f)| **f <= 0.0).for_each(|(k, _)| k.0 = 0.0);
+    }
+}
+
+impl Balancer {
+    /// Readiness of every backend, speed and share of every kind.
+    pub(super) fn solve(&mut self, now: Time) {
+        let few = FEW / self.rate.per_s().unwrap_or(FEW / SOLVE_EVERY).max(1.0);
+        self.solve_at = now + Micros::from_secs(SOLVE_EVERY.max(few));
+        self.blocked = 0.0;
+        let listed = || self.peers.values().filter(|p| p.entry.state == BackendState::Ready);
+        let reached = listed().filter(|p| !self.reach.cut(now, p.entry.zone)).count() as f64;
+        let heed = reached > 0.0;
+        self.reached = if heed { reached / listed().count() as f64 } else { 1.0 };
+        let cut = |zone| heed && self.reach.cut(now, zone);
+        let listed = listed().filter(|p| !cut(p.entry.zone));
+        let (all, out) = listed.fold((0.0, 0.0), |n, p| (n.0 + 1.0, n.1 + f64::from(p.ejected.is_some())));
+        let listed = self.peers.values().filter(|p| p.entry.state == BackendState::Ready);
+        let mut errors: Vec<f64> = listed.map(|p| p.errors).collect();
+        errors.sort_by(f64::total_cmp);
+        // Where they fail for a reason of all, there is nobody better, unless another pool can be asked.
+        let middle = errors.get(errors.len().saturating_sub(1) / 2).filter(|_| !self.cfg.spare);
+        self.common = middle.copied().unwrap_or(0.0);
+        if self.many() {
+            self.served.add(now, 0.0);
+            self.loads.take_stock(now, self.peers.values(), self.cfg.proxies, self.served.per_s(), HOLD_ALL);
+            self.loads.settle(now, &mut self.peers, HOLD_ALL);
+        }
+        self.kinds.values_mut().for_each(|k| (k.ready, k.cores) = (0.0, 0.0));
+        for p in self.peers.values_mut() {
+            let k = self.kinds.entry(p.entry.kind).or_default();
+            let health = match p.ejected {
+                _ if p.entry.state != BackendState::Ready || cut(p.entry.zone) => 0.0,
+                Some(_) => f64::from(out > all * PANIC),
+                None => 1.0 - p.errors,
+            };
+            p.ready = health * warmth(&self.cfg, now, &p.entry) * self.loads.ease(now, p);
+            k.ready += p.ready;
+            k.cores += p.ready * f64::from(p.entry.cores);
+        }
+        self.rate.add(now, 0.0);
+        // What is turned away comes to no backend.
+        let carried = self.loads.fleet() * self.reached * self.loads.admitted(false);
+        let rate = self.rate.per_s().map(|r| r * carried);
+        let told = self.loads.spoken(now);
+        let own = CROWD_SAMPLES / self.rate.per_s().unwrap_or(1.0).max(1e-3);
+        self.crowd.remember(if told { CROWD_MEMORY } else { own }, CROWD_MEMORY);
+        for k in self.kinds.values_mut() {
+            let flow = if k.ready > 0.0 { rate.unwrap_or(0.0) * k.share / k.ready } else { 0.0 };
+            k.comes = flow;
+            let flow = k.flow.get().filter(|_| told).unwrap_or(flow);
+            k.speed = k.latency.get().map_or(0.0, |t| 1.0 / t + flow);
+        }
+        let speeds =
+            self.kinds.iter().filter(|(_, k)| k.speed > 0.0).map(|(id, k)| k.speed / self.loads.size(*id));
+        let (sum, count) = speeds.fold((0.0, 0.0), |n, s| (n.0 + s, n.1 + 1.0));
+        // Kinds without data: as fast as the others, or as the list's sizes have it.
+        let mean = if count > 0.0 { sum / count } else { 1.0 };
+        let unknown = self.kinds.iter_mut().filter(|(_, k)| k.speed == 0.0);
+        unknown.for_each(|(id, k)| k.speed = mean * self.loads.size(*id));
+        let table: Vec<(f64, f64)> = self.kinds.values().map(|k| (k.ready, k.speed)).collect();
+        // Without data there is no rate to go by but the most that they can take: by size, then, as by count.
+        let most = table.iter().map(|k| k.0 * k.1).sum::<f64>();
+        let rate = if count > 0.0 { rate } else { self.loads.sized().then_some(most) };
+        let shares = halb_shares(&table, rate);
+        self.kinds.values_mut().zip(shares).for_each(|(k, share)| k.share = share);
+        self.allot(now);
+    }
+
+    /// Each backend's part of this proxy's traffic: its kind's share by readiness. Where crossing zones costs
+    /// traffic stays near so far as all proxies together still give every backend the same part: a zone
+    /// whose backends are due less than its proxies bring sends its surplus to the zones due more.
+    pub(super) fn allot(&mut self, now: Time) {
+        let fleet = self.loads.fleet();
+        let part = |kinds: &BTreeMap<KindId, Kind>, p: &Peer| {
+            kinds.get(&p.entry.kind).map_or(0.0, |k| k.share * p.ready / k.ready.max(1e-9))
+        };
+        let mut due: BTreeMap<ZoneId, f64> = BTreeMap::new();
+        let ready = self.peers.values().filter(|p| p.ready > 0.0);
+        ready.for_each(|p| *due.entry(p.entry.zone).or_default() += part(&self.kinds, p));
+        let zones = due.len() as f64;
+        let rich: f64 = due.values().map(|d| (d * zones - 1.0).max(0.0)).sum();
+        let own = due.get(&self.cfg.zone).copied().unwrap_or(0.0);
+        self.kinds.values_mut().for_each(|k| (k.pull, k.walked, k.count) = (0.0, 0.0, 0.0));
+        // Where lists weigh, news is on its way from the start: a zone's clients alone would fill its boxes.
+        let told = self.loads.spoken(now) || self.many() && self.cfg.live_weights;
+        let mut reached = 0.0;
+        for p in self.peers.values_mut() {
+            let here = due.get(&p.entry.zone).map_or(0.0, |d| d.max(1e-9));
+            let far = (1.0 - own * zones).max(0.0) * (here * zones - 1.0).max(0.0) / rich.max(1e-9);
+            let near = if p.entry.zone == self.cfg.zone { (own * zones).min(1.0) } else { far };
+            let bias = if !told && self.cfg.cross_zone_cost > 0.0 && here > 0.0 { near / here } else { 1.0 };
+            // Half of the room for all goes by that part, half evenly; each has a room of one at least, as
+            // more proxies than the hold would wait for turns. There `crowded` keeps the hold.
+            let turn = p.entry.mark.wrapping_add(u64::from(self.cfg.position));
+            let coin = ((turn % u64::from(self.cfg.proxies)) as f64 + 0.5) / f64::from(self.cfg.proxies);
+            let fair = HOLD / fleet * p.ready * f64::from(p.entry.cores);
+            p.room = (fair * (0.5 + 0.5 * bias) + coin).floor().max(1.0);
+            // The trace takes the overflow where all that have a part are full.
+            let drawn = part(&self.kinds, p) * bias;
+            p.pull = drawn + p.ready * 1e-6;
+            reached += f64::from(drawn > 0.0);
+            let k = self.kinds.entry(p.entry.kind).or_default();
+            k.pull += p.pull;
+            k.count += f64::from(p.ready > 0.0);
+        }
+        // This proxy's slice of each kind: the same width for all, begun at evenly spread places, so that all
+        // slices together cover every backend by its pull.
+        let shared = if told { SHARED_TOLD } else { SHARED_BY };
+        let width = (shared / fleet * self.peers.len() as f64 / reached.max(1.0)).min(1.0);
+        let start = (f64::from(self.cfg.position) * 0.618_033_988_749_895).fract();
+        for id in &self.order {
+            let Some(p) = self.peers.get_mut(id) else { continue };
+            let k = self.kinds.entry(p.entry.kind).or_default();
+            // Where pulls follow what backends say they move all the time; by count a slice stays.
+            let (pull, all) = if told { (f64::from(p.ready > 0.0), k.count) } else { (p.pull, k.pull) };
+            let from = k.walked / all.max(1e-9);
+            k.walked += pull;
+            let to = k.walked / all.max(1e-9);
+            let inside = |start: f64| (to.min(start + width) - from.max(start)).max(0.0);
+            p.slice = inside(start) + inside(start - 1.0);
+            if told {
+                p.slice *= p.pull;
+            }
+        }
+    }
+}
