Soak: spoilt answers, crowds of idle clients, short starts, asked discovery, long bodies

Change: FaultKind::Crowd and ShortStart, illnesses Drips, Garbage, Truncates, TwoSegments, bodies of 20 KB, 256 descriptors a proxy, and discovery that is asked in three of ten seeds, where a change is told when it was written.

--- a/crates/soak/src/clients.rs
+++ b/crates/soak/src/clients.rs
@@ -119,3 +119,13 @@
     }
     while clients.join_next().await.is_some() {}
 }
+
+/// So many idle connections, a few at a time; those that the proxy closes are not opened again.
+pub async fn crowd(to: SocketAddr, connections: usize) {
+    let mut open = Vec::new();
+    for _ in 0..connections {
+        open.extend(connect(to).await.ok());
+        tokio::time::sleep(Duration::from_millis(2)).await;
+    }
+    tokio::time::sleep(REST).await;
+}
--- a/crates/soak/src/oracle.rs
+++ b/crates/soak/src/oracle.rs
@@ -20,6 +20,8 @@
 const TIME_LEFT_SLACK: Micros = Micros(150_000);
 /// A change of the list's address counts as told so long after the signal.
 const MOVED: Micros = Micros(4_000_000);
+/// Where discovery is asked a change counts as told so long after discovery had it and could be reached.
+const TOLD_AT_LATEST: Micros = Micros(6_000_000);
 /// A new process is ready after this time.
 const READY: Micros = Micros(10_000_000);
 /// Cores that the machines of all backends have.
@@ -107,6 +109,17 @@
     pub until: Time,
 }
 
+/// An entry of the list was written to a proxy.
+#[derive(Clone, Copy, Debug)]
+pub struct Telling {
+    /// To which.
+    pub proxy: usize,
+    /// Of which backend.
+    pub backend: usize,
+    /// When its last byte was written.
+    pub at: Time,
+}
+
 /// A backend started anew.
 #[derive(Clone, Copy, Debug)]
 pub struct Return {
@@ -137,6 +150,10 @@
     pub late_links: Vec<LateLink>,
     /// The lines of the logs that matter, with their files' names.
     pub log_lines: Vec<String>,
+    /// What discovery wrote to whom, where it is asked.
+    pub tellings: Vec<Telling>,
+    /// Discovery is asked: a change is told when it is written.
+    pub asks_discovery: bool,
     /// Processes were held up.
     pub held_up: bool,
     /// The classes' deadline.
@@ -302,22 +319,35 @@
         places.iter().map(one).collect()
     }
 
-    /// When a change at that time was told to a process.
-    fn told(&self, life: &Life, at: Time) -> Time {
+    /// When a change of a backend at that time was told to a process.
+    fn told(&self, life: &Life, backend: usize, at: Time) -> Time {
         let mut told = at.max(life.started);
-        // Outages may overlap.
-        for _ in 0..self.unreachable[life.proxy].len() {
-            for (from, until) in &self.unreachable[life.proxy] {
-                if (*from..*until).contains(&told) {
-                    told = *until;
-                }
-            }
+        if self.asks_discovery {
+            let here = |t: &&Telling| t.proxy == life.proxy && t.backend == backend && t.at >= told;
+            let written = self.tellings.iter().filter(here).map(|t| t.at).min();
+            let latest = self.reached(life.proxy, told) + TOLD_AT_LATEST;
+            return written.map_or(latest, |written| written.min(latest));
         }
+        told = self.reached(life.proxy, told);
         let moves = &self.moves[life.proxy];
         let near = moves.iter().filter(|at| **at + MOVED > told && **at < told + Micros(DRAIN_GRACE_US));
         near.map(|at| *at + MOVED).max().map_or(told, |moved| moved.max(told))
     }
 
+    /// When a proxy could reach discovery, from that time on.
+    fn reached(&self, proxy: usize, from: Time) -> Time {
+        let mut at = from;
+        // Outages may overlap.
+        for _ in 0..self.unreachable[proxy].len() {
+            for (from, until) in &self.unreachable[proxy] {
+                if (*from..*until).contains(&at) {
+                    at = *until;
+                }
+            }
+        }
+        at
+    }
+
     fn drains(&self, broken: &mut Vec<Violation>) {
         let late = Micros(DRAIN_GRACE_US + CLOCK_SLACK.0 + MACHINE_SLACK.0 + self.hold_up().0);
         for unlisted in &self.unlisted {
@@ -327,7 +357,7 @@
                     && unlisted.until.is_none_or(|until| r.came < until)
             };
             for (record, life) in self.timely().filter(|(record, _)| here(record)) {
-                let told = self.told(&self.lives[life], unlisted.from);
+                let told = self.told(&self.lives[life], unlisted.backend, unlisted.from);
                 if record.came > told + late {
                     let after = (record.came - told).secs();
                     let text = format!(
@@ -374,7 +404,7 @@
             let Some((booted, listed)) = booted.zip(self.listed(at_box, boot)) else { continue };
             let knew = |record: &Record| {
                 let life = run_of(&record.id).and_then(|run| lives.get(&run));
-                life.is_some_and(|life| record.came >= self.told(&self.lives[*life], listed))
+                life.is_some_and(|life| record.came >= self.told(&self.lives[*life], at_box, listed))
             };
             let mut first = 0;
             for (at, record) in records.iter().enumerate() {
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -47,11 +47,15 @@
     Freeze,
     /// Clients send half of a request, or several at once, or rest in large numbers.
     Clients,
+    /// Idle clients fill all slots of single proxies.
+    Crowd,
+    /// Proxies are killed and started anew while the system lacks sockets.
+    ShortStart,
 }
 
 impl FaultKind {
     /// All of them.
-    pub const ALL: [FaultKind; 13] = [
+    pub const ALL: [FaultKind; 15] = [
         FaultKind::Stop,
         FaultKind::Kill,
         FaultKind::Reload,
@@ -65,6 +69,8 @@
         FaultKind::WallClock,
         FaultKind::Freeze,
         FaultKind::Clients,
+        FaultKind::Crowd,
+        FaultKind::ShortStart,
     ];
 }
 
@@ -81,6 +87,14 @@
     Slow(f64),
     /// Each connection ends after its answer.
     Closes,
+    /// Answers come byte by byte, over so many milliseconds.
+    Drips(u64),
+    /// Answers are no HTTP, and the connection stays open.
+    Garbage,
+    /// Answers break off within their bodies, and the connection stays open.
+    Truncates,
+    /// Head and body come in two segments, on a socket that holds small ones back.
+    TwoSegments,
 }
 
 /// A single step of a run.
@@ -130,6 +144,8 @@
     WallClock(i64),
     /// Clients of a proxy that misbehave.
     BadClients(usize),
+    /// Idle clients fill the slots of a proxy.
+    Crowd(usize),
 }
 
 /// A step and when it is taken, from the beginning of the run.
@@ -148,6 +164,8 @@
     pub kinds: Vec<FaultKind>,
     /// Seconds that the proxies' wall clocks are ahead as the first processes start.
     pub wall_clock_at_start: i64,
+    /// Discovery is asked, not an agent that pushes.
+    pub asks_discovery: bool,
     /// In the order of their times.
     pub steps: Vec<Timed>,
 }
@@ -178,9 +196,10 @@
         let steps_clock = kinds.contains(&FaultKind::WallClock);
         let wall_clock_at_start = if steps_clock { HOUR_S * (drawing.below(3) as i64 - 1) } else { 0 };
         kinds.iter().for_each(|kind| drawing.fault(*kind));
+        let asks_discovery = drawing.dice.chance(0.3);
         let mut steps = drawing.steps;
         steps.sort_by_key(|timed| timed.at);
-        Plan { kinds, wall_clock_at_start, steps }
+        Plan { kinds, wall_clock_at_start, asks_discovery, steps }
     }
 }
 
@@ -320,6 +339,22 @@
                     self.add(at, Step::Freeze(proxy, millis));
                 }
             }
+            FaultKind::Crowd => {
+                for proxy in self.some(proxies, 0.4) {
+                    let at = self.time();
+                    self.add(at, Step::Crowd(proxy));
+                }
+            }
+            FaultKind::ShortStart => {
+                let at = self.time();
+                self.add(at, Step::Call(CallFault::Socket, 0.9));
+                for proxy in self.some(proxies, 0.3) {
+                    let delay = self.between(0.0, 0.2);
+                    self.add(at + delay, Step::Kill(proxy));
+                }
+                let over = self.between(0.3, 1.5);
+                self.add(at + over, Step::Call(CallFault::Socket, 0.0));
+            }
             FaultKind::Clients => {
                 for proxy in self.some(proxies, 0.6) {
                     let at = self.time();
@@ -330,11 +365,15 @@
     }
 
     fn illness(&mut self) -> Illness {
-        match self.below(5) {
+        match self.below(9) {
             0 => Illness::Hangs(self.between(0.2, 1.0)),
             1 => Illness::Fails(self.between(0.2, 1.0)),
             2 => Illness::Resets(self.between(0.1, 1.0)),
             3 => Illness::Slow(self.between(2.0, 10.0)),
+            4 => Illness::Drips(5 + self.below(100) as u64),
+            5 => Illness::Garbage,
+            6 => Illness::Truncates,
+            7 => Illness::TwoSegments,
             _ => Illness::Closes,
         }
     }
--- a/crates/soak/src/proxies.rs
+++ b/crates/soak/src/proxies.rs
@@ -27,15 +27,19 @@
 /// A backend is warm after so long, µs.
 pub const RAMP_US: u64 = 6_000_000;
 
+/// The file descriptors that a proxy may hold.
+pub const SOCKETS: usize = 256;
+
 /// The settings of a proxy of that place among so many.
-pub fn settings(place: usize, proxies: usize) -> serde_json::Value {
+pub fn settings(place: usize, proxies: usize, asks_discovery: bool) -> serde_json::Value {
+    let discovery = if asks_discovery { "subscribe" } else { "automatic" };
     let class = |name: &str, effect: &str| {
         json!({"name": name, "aim_us": 500_000, "deadline_us": LONGEST_DEADLINE_US, "effect": effect,
             "key_scope": "cell", "window_us": WINDOW_US, "gain": 1.0, "late_worth": 0.5})
     };
     json!({
         "blend": {"whole": 0.6, "worst_class": 0.2}, "costs": {"cross_zone": 0.0},
-        "customers": [{"name": "north", "quota_rps": 100_000.0}], "discovery": "automatic",
+        "customers": [{"name": "north", "quota_rps": 100_000.0}], "discovery": discovery,
         "position": place, "group_size": proxies, "granularity_us": 5_000, "kinds": ["big"],
         "my_zone": "east", "zones": ["east"], "over_share_worth": 0.1,
         "limits": {"cancel": true, "max_attempts": 4, "parallel_tries": true, "dial_timeout_us": 250_000,
@@ -101,6 +105,8 @@
     pub clock: Clock,
     /// How many proxies there are.
     pub proxies: usize,
+    /// Discovery is asked, not an agent that pushes.
+    pub asks_discovery: bool,
     /// The run's seed.
     pub seed: u64,
 }
@@ -129,9 +135,9 @@
         let config = json!({
             "name": format!("p{}", self.place), "listen": self.address().to_string(), "seed": seed,
             "discovery": self.discovery[state.moves % 2].to_string(),
-            "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
+            "limits": {"cores": 1.0, "memory_mb": 192, "sockets": SOCKETS},
             "known": {"index": 0, "snapshot": true, "endpoints": state.known},
-            "settings": settings(self.place, setting.proxies),
+            "settings": settings(self.place, setting.proxies, setting.asks_discovery),
         });
         let next = self.config.with_extension("next");
         std::fs::write(&next, config.to_string())?;
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -2,10 +2,10 @@
 
 use crate::artifacts::Artifacts;
 use crate::call_faults::CallFault;
-use crate::clients::{leave, misbehave, Departure};
+use crate::clients::{crowd, leave, misbehave, Departure};
 use crate::control::FaultControl;
 use crate::oracle::{
-    judge, ClientRecords, Evidence, LateLink, Return, Unlisted, Violation, CORES, MEAN_WORK_MS,
+    judge, ClientRecords, Evidence, LateLink, Return, Telling, Unlisted, Violation, CORES, MEAN_WORK_MS,
 };
 use crate::plan::{FaultKind, Illness, Plan, Scale, Step};
 use crate::proxies::*;
@@ -22,6 +22,8 @@
 
 /// Requests a second of the ordinary load at each proxy.
 const RATE_PER_S: f64 = 40.0;
+/// The body of a request that is unsafe to repeat, in bytes: some writes and reads.
+const LONG_BODY: usize = 20_000;
 /// The mean pause between two clients of a proxy that leave, ms.
 const LEAVE_PAUSE_MS: f64 = 60.0;
 /// Backends of one bay share the keys that they have seen.
@@ -77,6 +79,7 @@
     clock: Clock,
     seed: u64,
     scale: Scale,
+    asks_discovery: bool,
     slots: Vec<ProxySlot>,
     fleet: Fleet,
     discovery: ListServer,
@@ -108,7 +111,7 @@
 
 fn classes() -> Vec<LoadClass> {
     let keyed = Effect::Keyed(KeyScope::Cell, Micros(WINDOW_US));
-    vec![class("read", Effect::Free, 0), class("pay", Effect::Unsafe, 40), class("vote", keyed, 20)]
+    vec![class("read", Effect::Free, 0), class("pay", Effect::Unsafe, LONG_BODY), class("vote", keyed, 20)]
 }
 
 fn backend(place: usize) -> BoxSpec {
@@ -202,6 +205,7 @@
             clock,
             seed,
             scale: *scale,
+            asks_discovery: plan.asks_discovery,
             slots,
             fleet,
             discovery,
@@ -223,6 +227,7 @@
             folder: &self.folder,
             clock: self.clock,
             proxies: self.scale.proxies,
+            asks_discovery: self.asks_discovery,
             seed: self.seed,
         }
     }
@@ -280,11 +285,21 @@
             late_links,
             returns,
             log_lines,
+            tellings: if self.asks_discovery { self.tellings() } else { Vec::new() },
+            asks_discovery: self.asks_discovery,
             held_up,
             deadline: Micros(LONGEST_DEADLINE_US),
         }
     }
 
+    /// What discovery wrote to whom.
+    fn tellings(&self) -> Vec<Telling> {
+        let place = |name: &str| name.get(1..).and_then(|number| number.parse().ok());
+        let one =
+            |told: Told| Some(Telling { proxy: told.watcher, backend: place(&told.name)?, at: told.at });
+        self.discovery.told().into_iter().filter_map(one).collect()
+    }
+
     /// Everything is as usual again, so that what is owed can be answered.
     fn heal(&self) -> io::Result<()> {
         self.control.clear()?;
@@ -378,14 +393,26 @@
                     Illness::Resets(part) => Fault::Reset(part),
                     Illness::Slow(times) => Fault::Slow(times),
                     Illness::Closes => Fault::Close(false),
+                    Illness::Drips(millis) => Fault::Send(Sending::Drip(Duration::from_millis(millis))),
+                    Illness::Garbage => Fault::Send(Sending::Raw(vec![b"no answer at all\r\n\r\n".to_vec()])),
+                    Illness::Truncates => Fault::Send(Sending::Raw(vec![
+                        b"HTTP/1.1 200 X\r\nContent-Length: 50\r\n\r\n".to_vec(),
+                        b"half of it".to_vec(),
+                    ])),
+                    Illness::TwoSegments => Fault::Send(Sending::TwoSegments),
                 };
                 self.fleet.boxes()[backend].set(fault);
             }
             Step::Well(backend) => {
                 let handle = &self.fleet.boxes()[backend];
-                for fault in
-                    [Fault::Hang(0.0), Fault::Fail(0.0), Fault::Reset(0.0), Fault::Slow(1.0), Fault::Keep]
-                {
+                for fault in [
+                    Fault::Hang(0.0),
+                    Fault::Fail(0.0),
+                    Fault::Reset(0.0),
+                    Fault::Slow(1.0),
+                    Fault::Keep,
+                    Fault::Send(Sending::Whole),
+                ] {
                     handle.set(fault);
                 }
             }
@@ -416,6 +443,7 @@
             }
             Step::Call(fault, chance) => self.control.set(fault, chance)?,
             Step::WallClock(seconds) => self.control.step_wall_clock(seconds)?,
+            Step::Crowd(proxy) => drop(tokio::spawn(crowd(self.slots[proxy].address(), SOCKETS))),
             Step::BadClients(proxy) => {
                 let (to, run) = (self.slots[proxy].address(), self.next_run());
                 tokio::spawn(misbehave(to, run));
