Look at the sockets before a time that is over counts: no close over an arrived request

Cause: epoll_wait is interrupted by SIGCONT and by any signal (EINTR); tokio then runs due timers with what it knew of the sockets before, and hyper's head timeout closes a connection on which a request lies unread. Class: a timer acted on before what the kernel has is asked for. A process that is held up between the wait and the timer does the same.

Change: net::timeout: a time that is over lets the event loop ask the kernel again (four turns, as each may be interrupted) before it counts. Used by the head timeout, bodies, connects, stalled answers, all waits of discovery's calls, the end of a list from before, and the engine's timer where it fires over 5 ms late (an answer that lies in the kernel is no silence). The last close of an evicted client asks for unread bytes, too.

Ruled out: the stream in hyper's timer, to ask its socket (hyper wants timers fit for any thread).

--- a/crates/http/src/bodies.rs
+++ b/crates/http/src/bodies.rs
@@ -8,6 +8,7 @@
 use hyper::body::{Body, Incoming};
 use shaletide_admission::{BodyId, Entry};
 use shaletide_balancer::Time;
+use shaletide_net::timeout::sleep_until;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -90,7 +91,7 @@
                     }
                     continue;
                 }
-                () = tokio::time::sleep_until(self.server.host.clock.instant(due)) => return Err(Fault::Slow),
+                () = sleep_until(self.server.host.clock.instant(due)) => return Err(Fault::Slow),
             };
             let Some(part) = frame else { return Err(Fault::Body) };
             let part = part.ok().and_then(|frame| frame.into_data().ok()).ok_or(Fault::Body)?;
--- a/crates/http/src/serve.rs
+++ b/crates/http/src/serve.rs
@@ -85,7 +85,8 @@
                 },
                 // Checked when the timeout fires: a request that arrived meanwhile is answered, and the timeout starts anew.
                 _ = cut.as_mut(), if client.evicted.get() => {
-                    if !client.busy.get() && span(self.host.clock.now() - client.idle_since.get()) >= CLOSE_TIMEOUT {
+                    let is_late = span(self.host.clock.now() - client.idle_since.get()) >= CLOSE_TIMEOUT;
+                    if is_late && !client.busy.get() && !client.stream.has_unread_bytes() {
                         return (CloseReason::NotRead, false);
                     }
                     cut.as_mut().reset(tokio::time::Instant::now() + CLOSE_TIMEOUT);
--- a/crates/http/src/timer.rs
+++ b/crates/http/src/timer.rs
@@ -1,5 +1,7 @@
-//! hyper's timer on tokio's clock.
+//! hyper's timer on tokio's clock. It fires hyper's timeout for reading request heads, which closes the connection: so it
+//! fires only after the sockets were looked at, and hyper reads what has come before it asks for the time.
 
+use shaletide_net::timeout;
 use std::future::Future;
 use std::pin::Pin;
 use std::task::{Context, Poll};
@@ -9,7 +11,8 @@
 #[derive(Clone, Copy)]
 pub(crate) struct Timer;
 
-struct Sleep(Pin<Box<tokio::time::Sleep>>);
+/// hyper wants its sleeps to be fit for any thread.
+struct Sleep(Pin<Box<dyn Future<Output = ()> + Send + Sync>>);
 
 impl Future for Sleep {
     type Output = ();
@@ -22,10 +25,10 @@
 
 impl hyper::rt::Timer for Timer {
     fn sleep(&self, span: Duration) -> Pin<Box<dyn hyper::rt::Sleep>> {
-        Box::pin(Sleep(Box::pin(tokio::time::sleep(span))))
+        self.sleep_until(Instant::now() + span)
     }
     fn sleep_until(&self, at: Instant) -> Pin<Box<dyn hyper::rt::Sleep>> {
-        Box::pin(Sleep(Box::pin(tokio::time::sleep_until(at.into()))))
+        Box::pin(Sleep(Box::pin(timeout::sleep_until(at.into()))))
     }
 }
 
--- a/crates/http/src/upstream.rs
+++ b/crates/http/src/upstream.rs
@@ -7,6 +7,7 @@
 use hyper::header::{HeaderName, HeaderValue, CONNECTION, CONTENT_LENGTH, HOST, TRANSFER_ENCODING};
 use hyper::{HeaderMap, Method, Request, StatusCode, Uri, Version};
 use shaletide_balancer::{AttemptNo, LoadReport};
+use shaletide_net::timeout::timeout;
 use shaletide_net::{
     driven, strip_hop_by_hop, ExchangeFuture, ExchangeOutcome, ExchangeSpec, PeerWatch, RequestTrace, Stream,
     UpstreamRequest,
@@ -206,7 +207,7 @@
         };
         match stall {
             None => parts.await,
-            Some(stall) if tokio::time::timeout(stall, parts).await.is_err() => return,
+            Some(stall) if timeout(stall, parts).await.is_err() => return,
             Some(_) => {}
         }
     }
--- a/crates/net/src/host.rs
+++ b/crates/net/src/host.rs
@@ -6,6 +6,7 @@
 use crate::lines::{Line, Lines};
 use crate::recording::{Named, Recording};
 use crate::stream::{PeerWatch, Stream};
+use crate::timeout::{self, TimedOut};
 use crate::trace::{request_trace_enabled, AttemptEvent, AttemptOutcome, AttemptTrace, RequestEvent};
 use crate::{span, Clock};
 use shaletide_balancer::*;
@@ -35,6 +36,8 @@
 const QUIET: Micros = Micros(10_000);
 /// How often idle connections are looked over.
 const SWEEP: Duration = Duration::from_millis(500);
+/// A timer that fires so late finds the process held up, or busy.
+const LATE_WAKE: Micros = Micros(5_000);
 /// A connect that lacks something of the system's is tried again after this time.
 const CONNECT_PAUSE: Duration = Duration::from_millis(5);
 /// An answer may be so late in the eyes of the monitors: as late as a busy machine wakes.
@@ -620,8 +623,8 @@
         s.trace_opening(conn, AttemptEvent::Connecting);
         let host = self.clone();
         let task = tokio::task::spawn_local(async move {
-            let timeout = span(host.network.get().connect_timeout);
-            let event = match host.connected(to, timeout).await {
+            let within = span(host.network.get().connect_timeout);
+            let event = match host.connected(to, within).await {
                 Ok(tcp) => {
                     host.state.borrow_mut().came_up(conn, Stream::new(tcp));
                     Event::Up { conn }
@@ -644,7 +647,7 @@
     }
 
     /// Connects within that time. A shortage of the system's is waited for, as the backend may be sound.
-    async fn connected(&self, to: SocketAddr, timeout: Duration) -> Result<TcpStream, ConnectFailure> {
+    async fn connected(&self, to: SocketAddr, within: Duration) -> Result<TcpStream, ConnectFailure> {
         let mut last = ConnectFailure::Peer;
         let attempts = async {
             loop {
@@ -662,9 +665,9 @@
                 tokio::time::sleep(CONNECT_PAUSE).await;
             }
         };
-        match tokio::time::timeout(timeout, attempts).await {
+        match timeout::timeout(within, attempts).await {
             Ok(done) => done,
-            Err(_) => Err(last),
+            Err(TimedOut) => Err(last),
         }
     }
 
@@ -798,6 +801,10 @@
                     let due = tokio::time::sleep_until(self.clock.instant(at));
                     tokio::select! {
                         _ = due => {
+                            // What has come meanwhile is heard first: an answer is no silence.
+                            if self.clock.now() - at > LATE_WAKE {
+                                timeout::poll_sockets().await;
+                            }
                             let late = (self.clock.now() - at).0;
                             self.lag.set(late.max(self.lag.get() * 15 / 16));
                             self.tell(Event::Wake);
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -9,6 +9,7 @@
 mod lines;
 mod recording;
 mod stream;
+pub mod timeout;
 mod trace;
 
 pub use driven::{driven, BoxError};
--- a/crates/watch/src/call.rs
+++ b/crates/watch/src/call.rs
@@ -6,6 +6,7 @@
 use hyper::client::conn::http1;
 use hyper::Request;
 use shaletide_membership::List;
+use shaletide_net::timeout::{timeout, timeout_at, TimedOut};
 use shaletide_net::{driven, BoxError, Stream};
 use std::future::{poll_fn, Future};
 use std::net::SocketAddr;
@@ -80,9 +81,8 @@
     let mut live = match kept(link).await {
         Some(live) => live,
         None => {
-            let connected = tokio::time::timeout(times.piece, TcpStream::connect(at)).await;
-            let late = |_| std::io::Error::from(std::io::ErrorKind::TimedOut);
-            let tcp = connected.map_err(late).and_then(|tcp| tcp).map_err(WatchError::Connect)?;
+            let connected = timeout(times.piece, TcpStream::connect(at)).await;
+            let tcp = connected.map_err(Into::into).and_then(|tcp| tcp).map_err(WatchError::Connect)?;
             let (sender, conn) = http1::handshake(Stream::new(tcp)).await.map_err(boxed)?;
             Link { sender, conn }
         }
@@ -94,9 +94,9 @@
         sender.send_request(request).await.map_err(boxed)
     };
     let answer = async {
-        let answer = tokio::time::timeout_at(head_by, head).await.map_err(silent)??;
+        let answer = timeout_at(head_by, head).await.map_err(silent)??;
         let status = answer.status().as_u16();
-        let body = tokio::time::timeout(times.transfer, collected(answer.into_body(), times.piece));
+        let body = timeout(times.transfer, collected(answer.into_body(), times.piece));
         Ok((status, body.await.map_err(silent)??))
     };
     let (status, body) = driven(conn, answer).await.unwrap_or(Err(WatchError::Ended))?;
@@ -111,7 +111,7 @@
 async fn collected(body: Incoming, apart: Duration) -> Result<Vec<u8>, WatchError> {
     let mut body = Limited::new(body, MAX_LIST);
     let mut bytes = Vec::new();
-    while let Some(frame) = tokio::time::timeout(apart, body.frame()).await.map_err(silent)? {
+    while let Some(frame) = timeout(apart, body.frame()).await.map_err(silent)? {
         let frame = frame.map_err(WatchError::Http)?;
         bytes.extend_from_slice(frame.data_ref().map_or(&[], |piece| piece));
     }
@@ -125,7 +125,7 @@
     (!over && !live.sender.is_closed()).then_some(live)
 }
 
-fn silent(_: tokio::time::error::Elapsed) -> WatchError {
+fn silent(_: TimedOut) -> WatchError {
     WatchError::Silent
 }
 
--- a/crates/watch/src/lib.rs
+++ b/crates/watch/src/lib.rs
@@ -9,7 +9,7 @@
 use pace::Pace;
 use shaletide_balancer::{Discovery, ListUpdate, PoolId};
 use shaletide_membership::List;
-use shaletide_net::Host;
+use shaletide_net::{timeout, Host};
 use std::cell::Cell;
 use std::future::{poll_fn, Future};
 use std::net::SocketAddr;
@@ -78,7 +78,7 @@
     if !terms.strict || terms.mode != Discovery::Push {
         return;
     }
-    tokio::time::sleep_until(until.into()).await;
+    timeout::sleep_until(until.into()).await;
     if !heard.get() {
         warn!("discovery has not been heard: its list of before is too old to go by");
         host.members(pool, ListUpdate::Full, Vec::new());
