--- /dev/null
+++ b/crates/soak/tests/soak.rs
@@ -0,0 +1,37 @@
+//! The soak itself, on two short seeds: the long form is `shaletide-soak --seeds N`.
+
+use shaletide_soak::artifacts::Artifacts;
+use shaletide_soak::plan::{FaultKind, Plan, Scale};
+use shaletide_soak::run::play;
+use std::time::Duration;
+
+fn scale() -> Scale {
+    Scale { proxies: 5, backends: 6, length: Duration::from_secs(5), faults: 4 }
+}
+
+#[test]
+fn rules_hold_while_faults_overlap() {
+    let artifacts = Artifacts::find().expect("the program and the shim");
+    let kinds = [
+        vec![FaultKind::Stop, FaultKind::Calls, FaultKind::Reload, FaultKind::Death],
+        vec![FaultKind::Kill, FaultKind::Drain, FaultKind::WallClock, FaultKind::Freeze, FaultKind::Clients],
+    ];
+    for (seed, kinds) in kinds.iter().enumerate() {
+        let report = play(seed as u64 + 1, &scale(), kinds, &artifacts).expect("a run");
+        assert!(report.requests > 300 && report.departures > 100, "{report:?}");
+        assert_eq!(report.violations, [], "seed {seed}, logs in {}", report.folder.display());
+    }
+}
+
+#[test]
+fn plan_is_the_same_for_the_same_seed_and_faults_overlap() {
+    for seed in 0..200 {
+        let plan = Plan::draw(seed, &scale(), &[]);
+        let again = Plan::draw(seed, &scale(), &[]);
+        assert_eq!((plan.steps.clone(), plan.kinds.clone()), (again.steps, again.kinds), "{seed}");
+        assert_eq!(plan.kinds.len(), 4, "{seed}");
+        assert!(plan.steps.is_sorted_by_key(|timed| timed.at), "{seed}");
+        let first = plan.steps.first().expect("a step").at;
+        assert!(first < scale().length.mul_f64(0.8), "{seed}");
+    }
+}
