--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -319,7 +319,7 @@
                 }
             }
             FaultKind::Calls => {
-                for _ in 0..2 + self.below(3) {
+                for _ in 0..3 + self.below(4) {
                     let (fault, most) = CALLS[self.below(CALLS.len())];
                     let (at, chance) = (self.time(), self.between(0.1, 1.0) * most);
                     self.add(at, Step::Call(fault, chance));
