Soak: needless evictions, what lay in a cut link, and the plan of a seed on request

A check of the soak's was wrong, not the program: what comes over such a link says nothing of when it was sent, as for the other rules.

--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -3,7 +3,7 @@
 
 use clap::Parser;
 use shaletide_soak::artifacts::Artifacts;
-use shaletide_soak::plan::{FaultKind, Scale};
+use shaletide_soak::plan::{FaultKind, Plan, Scale};
 use shaletide_soak::run::{play, Report};
 use std::path::PathBuf;
 use std::process::ExitCode;
@@ -38,6 +38,9 @@
     /// Kinds of fault that each seed has instead, by their names, such as Stop,Calls.
     #[arg(long, value_delimiter = ',')]
     only: Vec<String>,
+    /// Prints what each seed would do, and plays nothing.
+    #[arg(long)]
+    plan: bool,
     /// The program under test, if not the one beside this.
     #[arg(long)]
     program: Option<PathBuf>,
@@ -68,16 +71,26 @@
 
 fn run(cli: &Cli) -> Result<bool, String> {
     let only = kinds(&cli.only)?;
-    let mut artifacts = Artifacts::find().map_err(|e| e.to_string())?;
-    if let Some(program) = &cli.program {
-        artifacts.program = program.clone();
-    }
     let scale = Scale {
         proxies: cli.proxies.into(),
         backends: cli.backends.into(),
         length: Duration::from_secs_f64(cli.seconds),
         faults: cli.faults,
     };
+    if cli.plan {
+        for seed in cli.seed..cli.seed + cli.seeds {
+            let plan = Plan::draw(seed, &scale, &only);
+            println!("seed {seed} {:?}, clock {} s ahead", plan.kinds, plan.wall_clock_at_start);
+            for timed in plan.steps {
+                println!("  {:7.3} s {:?}", timed.at.as_secs_f64(), timed.step);
+            }
+        }
+        return Ok(true);
+    }
+    let mut artifacts = Artifacts::find().map_err(|e| e.to_string())?;
+    if let Some(program) = &cli.program {
+        artifacts.program = program.clone();
+    }
     let (mut broken, mut seeds) = (0, 0);
     for seed in cli.seed..cli.seed + cli.seeds {
         let report = play(seed, &scale, &only, &artifacts).map_err(|e| format!("seed {seed}: {e}"))?;
--- a/crates/soak/src/oracle.rs
+++ b/crates/soak/src/oracle.rs
@@ -61,6 +61,8 @@
     Ready,
     /// A process ends in time after SIGTERM.
     Stop,
+    /// No client is evicted while there are slots for all.
+    NoNeedlessEviction,
     /// The program's own check finds nothing.
     SelfCheck,
 }
@@ -148,6 +150,10 @@
     pub moves: Vec<Vec<Time>>,
     /// What came to a backend over such a link says nothing of when it was sent.
     pub late_links: Vec<LateLink>,
+    /// Clients that the processes say they evicted, and whether idle ones may have filled their slots.
+    pub evictions: u64,
+    /// Many idle clients were there: evictions are right.
+    pub crowded: bool,
     /// The lines of the logs that matter, with their files' names.
     pub log_lines: Vec<String>,
     /// What discovery wrote to whom, where it is asked.
@@ -202,17 +208,20 @@
         runs.collect()
     }
 
+    /// Whether a record came when it was sent; not where it came over a link that held bytes back.
+    fn is_timely(&self, record: &Record, proxy: usize) -> bool {
+        !self.late_links.iter().any(|link| {
+            let here = link.proxy == proxy && link.backend == record.at_box;
+            here && record.came >= link.from && record.came <= link.until + LATE_LINK_TAIL
+        })
+    }
+
     /// Records that came when they were sent, with the process that sent each.
     fn timely(&self) -> impl Iterator<Item = (&Record, usize)> {
         let lives = self.lives_by_run();
         self.ledger.records.iter().filter_map(move |record| {
             let life = *lives.get(&run_of(&record.id)?)?;
-            let proxy = self.lives[life].proxy;
-            let is_late = |link: &LateLink| {
-                let here = link.proxy == proxy && link.backend == record.at_box;
-                here && record.came >= link.from && record.came <= link.until + LATE_LINK_TAIL
-            };
-            (!self.late_links.iter().any(is_late)).then_some((record, life))
+            self.is_timely(record, self.lives[life].proxy).then_some((record, life))
         })
     }
 
@@ -244,6 +253,10 @@
                 add(broken, Rule::Ready, format!("{name} was not ready: {ready:?}"));
             }
         }
+        if self.evictions > 0 && !self.crowded {
+            let text = format!("{} clients were evicted while slots were free", self.evictions);
+            add(broken, Rule::NoNeedlessEviction, text);
+        }
         for line in &self.log_lines {
             if line.contains("panicked") {
                 add(broken, Rule::NoCrash, line.clone());
@@ -288,7 +301,17 @@
             add(broken, Rule::UnsafeOnce, text);
         }
         let window = Micros(WINDOW_US + self.hold_up().0 + CLOCK_SLACK.0);
+        let lives = self.lives_by_run();
         for violation in checks::keyed_ran_in_one_bay(&self.ledger, |_| window) {
+            // The repeat may have been written in time and have lain in a cut since then.
+            let is_timely = |place: &usize| {
+                let record = &self.ledger.records[*place];
+                let life = run_of(&record.id).and_then(|run| lives.get(&run));
+                life.is_none_or(|life| self.is_timely(record, self.lives[*life].proxy))
+            };
+            if !violation.records.last().is_some_and(is_timely) {
+                continue;
+            }
             let text = violation.what + &self.described(&violation.records);
             add(broken, Rule::KeyedInside, text);
         }
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -256,20 +256,23 @@
             .steps
             .iter()
             .any(|timed| matches!(timed.step, Step::Freeze(..) | Step::Call(CallFault::SlowWrite, _)));
-        Ok(self.evidence(held_up))
+        let crowds = [FaultKind::Crowd, FaultKind::Clients];
+        let crowded = plan.kinds.iter().any(|kind| crowds.contains(kind));
+        Ok(self.evidence(held_up, crowded))
     }
 
-    fn evidence(&self, held_up: bool) -> Evidence {
+    fn evidence(&self, held_up: bool, crowded: bool) -> Evidence {
         let notes = std::mem::take(&mut *self.notes());
         let Notes { lives, clients, unlisted, mut unreachable, moves, mut late_links, returns, .. } = notes;
         let open = Time(u64::MAX);
         let now = self.clock.now();
         unreachable.iter_mut().flatten().filter(|span| span.1 == open).for_each(|span| span.1 = now);
         late_links.iter_mut().filter(|link| link.until == open).for_each(|link| link.until = now);
-        let mut log_lines = Vec::new();
+        let (mut log_lines, mut evictions) = (Vec::new(), 0);
         for life in &lives {
             let text = std::fs::read(&life.log).unwrap_or_default();
             let text = String::from_utf8_lossy(&text);
+            evictions += text.lines().filter_map(evicted_in).sum::<u64>();
             let name = life.log.file_stem().unwrap_or_default().to_string_lossy();
             let matters =
                 text.lines().filter(|line| line.contains("self-check:") || line.contains("panicked"));
@@ -284,6 +287,8 @@
             moves,
             late_links,
             returns,
+            evictions,
+            crowded,
             log_lines,
             tellings: if self.asks_discovery { self.tellings() } else { Vec::new() },
             asks_discovery: self.asks_discovery,
@@ -546,6 +551,12 @@
     }
 }
 
+/// How many clients a line of the program's periodic report says were evicted.
+fn evicted_in(line: &str) -> Option<u64> {
+    let (_, behind) = line.split_once(" evicted ")?;
+    behind.split(' ').next()?.parse().ok()
+}
+
 /// Until the process has ended.
 async fn ended(child: &mut Child) {
     while matches!(child.try_wait(), Ok(None)) {
