--- a/crates/keeper/src/opening.rs
+++ b/crates/keeper/src/opening.rs
@@ -13,6 +13,10 @@
 const OWNED: Duration = Duration::from_secs(5);
 /// The pause between two looks whether a lock has been given up.
 const LOCK_PAUSE: Duration = Duration::from_millis(50);
+/// A store that reads as corrupt so often in a row, on a disk that can be read, is corrupt.
+const CORRUPT_TRIES: u32 = 4;
+/// The pause between two such readings.
+const CORRUPT_PAUSE: Duration = Duration::from_millis(250);
 /// The pause between two looks at an opening that is under way.
 const LOOK: Duration = Duration::from_millis(20);
 
@@ -24,11 +28,26 @@
 }
 
 impl StoreContents {
-    /// Opens a store and reads it whole. Blocks.
+    /// Opens a store and reads it whole. Blocks. A store that reads as corrupt is read again: a disk that fails in the
+    /// middle of a reading makes one look so.
     ///
     /// # Errors
     /// Of any kind; [`may_open_later`] tells them apart.
     pub fn read(path: &Path) -> Result<StoreContents, StoreError> {
+        let mut tries = 1;
+        loop {
+            match StoreContents::read_once(path) {
+                Err(StoreError::Corrupt(_)) if tries < CORRUPT_TRIES => {
+                    tries += 1;
+                    std::thread::sleep(CORRUPT_PAUSE);
+                }
+                Err(StoreError::Corrupt(cause)) if !is_readable(path) => return Err(StoreError::Io(cause)),
+                done => return done,
+            }
+        }
+    }
+
+    fn read_once(path: &Path) -> Result<StoreContents, StoreError> {
         let store = opened(path)?;
         let head = store.head()?;
         let mut held: Vec<Remembered> = Vec::new();
@@ -43,6 +62,16 @@
     }
 }
 
+/// Whether every byte of the store's files can be read now.
+fn is_readable(path: &Path) -> bool {
+    let mut log = path.as_os_str().to_owned();
+    log.push("-wal");
+    [path.to_path_buf(), PathBuf::from(log)].iter().all(|file| match std::fs::File::open(file) {
+        Ok(mut file) => std::io::copy(&mut file, &mut std::io::sink()).is_ok(),
+        Err(error) => error.kind() == std::io::ErrorKind::NotFound,
+    })
+}
+
 /// A command that ends a doubt holds a store for a moment while no proxy runs: no reason not to start.
 fn opened(path: &Path) -> Result<SqliteStore, StoreError> {
     let begun = Instant::now();
--- a/crates/soak/tests/record_faults.rs
+++ b/crates/soak/tests/record_faults.rs
@@ -104,6 +104,15 @@
     }
 }
 
+/// Ends the clients when it is dropped.
+struct EndsClients<'a>(&'a AtomicBool);
+
+impl Drop for EndsClients<'_> {
+    fn drop(&mut self) {
+        self.0.store(true, Ordering::SeqCst);
+    }
+}
+
 fn no_key_runs_twice(seed: u64, length: Duration) {
     let folder = Folder::new();
     let (program, control) = faulty(&folder, Some(folder.path()));
@@ -114,6 +123,7 @@
     let (over, answers) = (AtomicBool::new(false), Answers::default());
     let (mut dice, mut kills, mut reloads) = (Dice::new(seed), 0, 0);
     std::thread::scope(|scope| {
+        let _ends = EndsClients(&over); // also where a check fails
         for number in 0..CLIENTS {
             let (to, over, answers) = (&to, &over, &answers);
             scope.spawn(move || client(number, to, over, answers));
@@ -140,7 +150,6 @@
             }
         }
         control.clear().expect("the control file");
-        over.store(true, Ordering::SeqCst);
     });
     let answers = answers.into_inner().expect("answers");
     let injected: Vec<u32> = FAULTS.iter().map(|fault| control.count(*fault).unwrap_or_default()).collect();
