--- a/crates/watch/src/lib.rs
+++ b/crates/watch/src/lib.rs
@@ -78,7 +78,10 @@
     if !terms.strict || terms.mode != Discovery::Push {
         return;
     }
-    timeout::sleep_until(until.into()).await;
+    // Where the start itself took that long nothing may be served by that list, not even for a turn of the event loop.
+    if Instant::now() < until {
+        timeout::sleep_until(until.into()).await;
+    }
     if !heard.get() {
         warn!("discovery has not been heard: its list of before is too old to go by");
         host.members(pool, ListUpdate::Full, Vec::new());
