Remove Keeper::open, which nobody calls since the record waits for its store

Cause: read once more. keeper::Record opens the store by OpeningAttempt and begins with Keeper::begin, so that Keeper::open was a second way with no caller. Server::run bound its listeners twice to change them.

Change: the dead function goes, its word on the receiver stands at begin; the listeners are a mutable argument. No behaviour changes.

--- a/crates/http/src/shutdown.rs
+++ b/crates/http/src/shutdown.rs
@@ -30,7 +30,7 @@
 
 impl Server {
     /// Accepts and serves until `stop` completes, then answers all accepted requests and returns.
-    pub async fn run(self: Rc<Self>, listeners: Vec<TcpListener>, stop: impl Future<Output = ()>) {
+    pub async fn run(self: Rc<Self>, mut listeners: Vec<TcpListener>, stop: impl Future<Output = ()>) {
         let mut stop = pin!(stop);
         loop {
             tokio::select! {
@@ -56,7 +56,6 @@
             }
         }
         // Connections in the accept queue are served too: a listener is closed only once its queue is empty.
-        let mut listeners = listeners;
         // A client that sends half of a request, or does not read its response, does not delay the end. At the deadline
         // open requests are given up once; then their responses have FLUSH_TIME, and at least some turns of the event
         // loop, as a process that was not scheduled for long may find both times over.
--- a/crates/keeper/src/lib.rs
+++ b/crates/keeper/src/lib.rs
@@ -75,19 +75,7 @@
 }
 
 impl Keeper {
-    /// Opens the store, takes over what it remembers, and starts its writer. Blocks; to be called before anything is
-    /// served. The receiver is for [`Keeper::work`].
-    ///
-    /// # Errors
-    /// Of any kind: a store that cannot be read at the start is no store of record.
-    pub fn open(
-        path: &Path, config: RecordConfig, clock: Clock, run: Run,
-    ) -> Result<(Rc<Keeper>, mpsc::UnboundedReceiver<Said>), StoreError> {
-        let contents = StoreContents::read(path)?;
-        Keeper::begin(path, contents, config, clock, run)
-    }
-
-    /// Takes over what a store that was opened remembers, and starts its writer.
+    /// Takes over what a store that was opened remembers, and starts its writer. The receiver is for [`Keeper::work`].
     ///
     /// # Errors
     /// The system gives no thread.
