Soak: aimed tests of signals whose delivery meets EINTR, which fail

Need: strace injection ended 2 to 3 of 5 processes at SIGTERM with SIGABRT (EINTR at recvfrom), their requests unanswered, and lost SIGTERM in 1 of 5 (EINTR at sendto). It came and went with where the interruption fell.

Change: the shim interrupts reads of signals (signalfd, or the Unix socket that a handler writes to), reports of signals, and writes to an eventfd; each test makes the bad order happen every time on the real program.

SIGTERM, SIGINT and SIGHUP abort the process where the read is interrupted; SIGTERM and SIGHUP are lost where the report is; and a SIGHUP whose reading thread is interrupted as it wakes the event loop aborts it too (panic in the runtime: "failed to wake I/O driver", EINTR).

--- a/crates/soak/shim/lib.rs
+++ b/crates/soak/shim/lib.rs
@@ -18,6 +18,8 @@
 
 /// File descriptors that are told apart.
 const MAX_DESCRIPTORS: usize = 4096;
+/// The size of a signal set in system calls, in bytes.
+const KERNEL_SIGNAL_SET_BYTES: size_t = 8;
 /// The most bytes of a short read or write.
 const SHORT: u64 = 7;
 
@@ -26,6 +28,8 @@
 const TCP_ACCEPTED: u8 = 1;
 const TCP_OPENED: u8 = 2;
 const FILE: u8 = 3;
+const SIGNAL_FD: u8 = 4;
+const EVENT_FD: u8 = 5;
 
 static KINDS: [AtomicU8; MAX_DESCRIPTORS] = [const { AtomicU8::new(OTHER) }; MAX_DESCRIPTORS];
 static CONTROL: AtomicPtr<u8> = AtomicPtr::new(std::ptr::null_mut());
@@ -89,11 +93,21 @@
     x.wrapping_mul(0x2545_f491_4f6c_dd1d) >> 16
 }
 
+/// The chance that a call fails, in parts of [`RATE_ONE`].
+fn rate(fault: CallFault) -> u32 {
+    word(fault.rate_at()).map_or(0, |rate| rate.load(Relaxed))
+}
+
+fn is_switched_on(fault: CallFault) -> bool {
+    rate(fault) > 0
+}
+
 /// Whether a call is to fail now; it is counted.
 fn fails(fault: CallFault) -> bool {
-    let Some(rate) = word(fault.rate_at()).map(|rate| rate.load(Relaxed)).filter(|rate| *rate > 0) else {
+    let rate = rate(fault);
+    if rate == 0 {
         return false;
-    };
+    }
     let hit = random() % u64::from(RATE_ONE) < u64::from(rate);
     if hit {
         if let Some(count) = word(fault.count_at()) {
@@ -128,6 +142,22 @@
     matches!(kind(descriptor), TCP_ACCEPTED | TCP_OPENED)
 }
 
+/// Whether a read of a signal, or a write that reports one, is interrupted. A reporting socket is known by its family, as
+/// its descriptors may be copies.
+fn interrupts_signal(descriptor: c_int, fault: CallFault) -> bool {
+    is_switched_on(fault) && (kind(descriptor) == SIGNAL_FD || is_unix_socket(descriptor)) && fails(fault)
+}
+
+fn is_unix_socket(descriptor: c_int) -> bool {
+    let mut domain: c_int = 0;
+    let mut length = std::mem::size_of::<c_int>() as socklen_t;
+    let (level, name) = (libc::SOL_SOCKET, libc::SO_DOMAIN);
+    // SAFETY: a system call that writes an integer of the stated length; it fails on what is no socket.
+    let result =
+        unsafe { libc::syscall(libc::SYS_getsockopt, descriptor, level, name, &mut domain, &mut length) };
+    result == 0 && domain == libc::AF_UNIX
+}
+
 fn shortened(fault: CallFault, length: size_t) -> size_t {
     if length > SHORT as size_t && fails(fault) {
         1 + (random() % SHORT) as size_t
@@ -167,6 +197,9 @@
 #[no_mangle]
 pub unsafe extern "C" fn recv(fd: c_int, buffer: *mut c_void, length: size_t, flags: c_int) -> ssize_t {
     let mut length = length;
+    if interrupts_signal(fd, CallFault::InterruptedSignalRead) {
+        return fail(libc::EINTR) as ssize_t;
+    }
     if is_tcp(fd) {
         let peeks = flags & libc::MSG_PEEK != 0;
         if let Some(error) = read_error(fd, peeks) {
@@ -185,6 +218,9 @@
 #[no_mangle]
 pub unsafe extern "C" fn read(fd: c_int, buffer: *mut c_void, length: size_t) -> ssize_t {
     let mut length = length;
+    if interrupts_signal(fd, CallFault::InterruptedSignalRead) {
+        return fail(libc::EINTR) as ssize_t;
+    }
     if is_tcp(fd) {
         if let Some(error) = read_error(fd, false) {
             return fail(error) as ssize_t;
@@ -201,6 +237,9 @@
 #[no_mangle]
 pub unsafe extern "C" fn send(fd: c_int, buffer: *const c_void, length: size_t, flags: c_int) -> ssize_t {
     let mut length = length;
+    if interrupts_signal(fd, CallFault::InterruptedSignalWrite) {
+        return fail(libc::EINTR) as ssize_t;
+    }
     if is_tcp(fd) {
         if let Some(error) = write_error() {
             return fail(error) as ssize_t;
@@ -228,6 +267,12 @@
 #[no_mangle]
 pub unsafe extern "C" fn write(fd: c_int, buffer: *const c_void, length: size_t) -> ssize_t {
     let mut length = length;
+    if interrupts_signal(fd, CallFault::InterruptedSignalWrite) {
+        return fail(libc::EINTR) as ssize_t;
+    }
+    if kind(fd) == EVENT_FD && fails(CallFault::InterruptedWake) {
+        return fail(libc::EINTR) as ssize_t;
+    }
     if is_tcp(fd) {
         if let Some(error) = write_error() {
             return fail(error) as ssize_t;
@@ -340,7 +385,7 @@
     if fails(CallFault::InterruptedWait) {
         return fail(libc::EINTR);
     }
-    let (no_mask, mask_size) = (std::ptr::null_mut::<c_void>(), 8usize);
+    let (no_mask, mask_size) = (std::ptr::null_mut::<c_void>(), KERNEL_SIGNAL_SET_BYTES);
     libc::syscall(libc::SYS_epoll_pwait, epoll, events, most, timeout, no_mask, mask_size) as c_int
 }
 
@@ -352,6 +397,28 @@
     libc::syscall(libc::SYS_close, fd) as c_int
 }
 
+/// # Safety
+/// As for the function of the C library.
+#[no_mangle]
+pub unsafe extern "C" fn signalfd(fd: c_int, mask: *const libc::sigset_t, flags: c_int) -> c_int {
+    let made = libc::syscall(libc::SYS_signalfd4, fd, mask, KERNEL_SIGNAL_SET_BYTES, flags) as c_int;
+    if made >= 0 {
+        set_kind(made, SIGNAL_FD);
+    }
+    made
+}
+
+/// # Safety
+/// As for the function of the C library.
+#[no_mangle]
+pub unsafe extern "C" fn eventfd(count: c_uint, flags: c_int) -> c_int {
+    let made = libc::syscall(libc::SYS_eventfd2, count, flags) as c_int;
+    if made >= 0 {
+        set_kind(made, EVENT_FD);
+    }
+    made
+}
+
 /// # Safety
 /// As for the function of the C library.
 #[no_mangle]
--- a/crates/soak/src/call_faults.rs
+++ b/crates/soak/src/call_faults.rs
@@ -38,11 +38,17 @@
     Bind,
     /// A bound socket cannot listen: EADDRINUSE.
     Listen,
+    /// A read from a signalfd, or from a Unix socket by which a handler reports signals, fails with EINTR.
+    InterruptedSignalRead,
+    /// A write to a Unix socket, by which a handler reports a signal, fails with EINTR and has written nothing.
+    InterruptedSignalWrite,
+    /// A write to an eventfd, by which a thread wakes the event loop, fails with EINTR.
+    InterruptedWake,
 }
 
 impl CallFault {
     /// All of them, in the order of their numbers.
-    pub const ALL: [CallFault; 17] = [
+    pub const ALL: [CallFault; 20] = [
         CallFault::ShortRead,
         CallFault::ShortWrite,
         CallFault::InterruptedRead,
@@ -60,6 +66,9 @@
         CallFault::DiskOpen,
         CallFault::Bind,
         CallFault::Listen,
+        CallFault::InterruptedSignalRead,
+        CallFault::InterruptedSignalWrite,
+        CallFault::InterruptedWake,
     ];
 
     /// Where its rate stands in the shared file, in bytes: the chance that a call fails, in parts of [`RATE_ONE`].
--- /dev/null
+++ b/crates/soak/tests/signal_path.rs
@@ -0,0 +1,133 @@
+//! Signals whose delivery meets EINTR: none is lost, none ends the process, and every request is answered.
+
+mod rig;
+
+use rig::*;
+use shaletide_soak::call_faults::CallFault;
+use shaletide_soak::control::FaultControl;
+use std::process::ExitStatus;
+use std::time::{Duration, Instant};
+
+/// So many calls in a row are interrupted.
+const INTERRUPTIONS: u32 = 3;
+/// SIGKILL comes so long after SIGTERM with the deadlines of these settings.
+const KILL: Duration = Duration::from_millis(3700);
+const POLL_INTERVAL: Duration = Duration::from_millis(5);
+
+/// A proxy with the shim and one backend, on which a request waits until the gate is opened.
+struct Testbed {
+    proxy: Proxy,
+    control: FaultControl,
+    backend: BackendServer,
+    _folder: Folder,
+}
+
+impl Testbed {
+    fn start() -> Testbed {
+        let folder = Folder::new();
+        let (program, control) = faulty(&folder, None);
+        let backend = BackendServer::start(|_| {
+            std::thread::sleep(Duration::from_millis(300));
+            ok("done")
+        });
+        let proxy = program.start(&[entry("b0", backend.address, "SERVING")]);
+        Testbed { proxy, control, backend, _folder: folder }
+    }
+
+    /// A client whose request is being answered.
+    fn client_in_flight(&self) -> Client {
+        let mut client = self.proxy.client();
+        client.send(&pay(3.0));
+        self.backend.request();
+        client
+    }
+
+    /// Sends a signal while this call is interrupted, until that has happened a few times or does not come any more.
+    fn signal_while_interrupted(&mut self, signal: &str, fault: CallFault) {
+        let before = self.control.count(fault).unwrap();
+        self.control.set(fault, 1.0).unwrap();
+        self.proxy.signal(signal);
+        let until = Instant::now() + Duration::from_secs(1);
+        while self.control.count(fault).unwrap() - before < INTERRUPTIONS && Instant::now() < until {
+            std::thread::sleep(POLL_INTERVAL);
+        }
+        self.control.set(fault, 0.0).unwrap();
+    }
+
+    /// Waits until the process has ended; `None` if it is still there when it would be killed.
+    fn end(&mut self) -> Option<ExitStatus> {
+        let until = Instant::now() + KILL;
+        while Instant::now() < until {
+            if let Some(status) = self.proxy.child.try_wait().unwrap() {
+                return Some(status);
+            }
+            std::thread::sleep(POLL_INTERVAL);
+        }
+        None
+    }
+
+    fn is_answered_and_ends(&mut self, mut client: Client) {
+        let answer = client.answer().map(|answer| answer.status());
+        assert_eq!(answer, Some(200), "the request in flight");
+        drop(client);
+        let status = self.end().expect("an end before the kill");
+        assert!(status.success(), "{status}");
+    }
+}
+
+/// Guards against a process that aborts at SIGTERM, with its requests unanswered, as a read of the signal is interrupted.
+#[test]
+fn interrupted_read_of_stop_signal_leaves_no_request_unanswered() {
+    for signal in ["TERM", "INT"] {
+        let mut testbed = Testbed::start();
+        let client = testbed.client_in_flight();
+        testbed.signal_while_interrupted(signal, CallFault::InterruptedSignalRead);
+        testbed.is_answered_and_ends(client);
+    }
+}
+
+/// Guards against a process that aborts at SIGHUP as a read of the signal is interrupted.
+#[test]
+fn interrupted_read_of_hangup_ends_no_process() {
+    let mut testbed = Testbed::start();
+    let client = testbed.client_in_flight();
+    let from = testbed.proxy.log.len();
+    testbed.signal_while_interrupted("HUP", CallFault::InterruptedSignalRead);
+    testbed.proxy.log.expect(from, "SIGHUP: taken");
+    testbed.proxy.signal("TERM");
+    testbed.is_answered_and_ends(client);
+}
+
+/// Guards against a SIGTERM that is lost, so that the process is killed, as the report of its handler is interrupted.
+#[test]
+fn interrupted_report_of_stop_signal_loses_no_signal() {
+    let mut testbed = Testbed::start();
+    let client = testbed.client_in_flight();
+    testbed.signal_while_interrupted("TERM", CallFault::InterruptedSignalWrite);
+    testbed.is_answered_and_ends(client);
+}
+
+/// Guards against a reload that is lost as the report of the handler of SIGHUP is interrupted.
+#[test]
+fn interrupted_report_of_hangup_loses_no_reload() {
+    let mut testbed = Testbed::start();
+    let client = testbed.client_in_flight();
+    let from = testbed.proxy.log.len();
+    testbed.signal_while_interrupted("HUP", CallFault::InterruptedSignalWrite);
+    testbed.proxy.log.expect(from, "SIGHUP: taken");
+    testbed.proxy.signal("TERM");
+    testbed.is_answered_and_ends(client);
+}
+
+/// Guards against a process that aborts at a reload as the thread that has read the configuration is interrupted while it
+/// wakes the event loop.
+#[test]
+fn interrupted_wake_after_reload_ends_no_process() {
+    let mut testbed = Testbed::start();
+    let client = testbed.client_in_flight();
+    let from = testbed.proxy.log.len();
+    testbed.signal_while_interrupted("HUP", CallFault::InterruptedWake);
+    testbed.proxy.log.expect(from, "SIGHUP: taken");
+    testbed.proxy.signal("TERM");
+    testbed.is_answered_and_ends(client);
+}
