Wake the event loop from threads by a channel that bears EINTR

Callers saw: SIGHUP with an interrupted call could end the process, its requests in flight unanswered.

Cause: the thread that reads the configuration handed its result over by a channel of the runtime, whose wake-up writes to an eventfd; any error but a full one is a panic there ("failed to wake I/O driver: Interrupted system call").

Change: net::thread_channel, values over std's channel and a wake-up over a socket pair, repeated at EINTR and while the system lacks memory. Used wherever a thread reports to the event loop: reload, the look at who holds an address, the store's writer, the look for a row. The runtime's blocking pool is not used any more.

--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -12,6 +12,7 @@
 mod recording;
 pub mod socket_table;
 mod stream;
+mod thread_channel;
 pub mod timeout;
 mod trace;
 
@@ -26,4 +27,5 @@
 };
 pub use recording::{RequestIdentity, RequestRecorder};
 pub use stream::{PeerWatch, Stream};
+pub use thread_channel::{thread_channel, ThreadReceiver, ThreadSender};
 pub use trace::{request_trace_enabled, RequestEvent, RequestTrace, REQUEST_TARGET};
--- a/crates/record-service/src/service.rs
+++ b/crates/record-service/src/service.rs
@@ -6,7 +6,7 @@
 use crate::opening::StoreContents;
 use crate::store_writer::start_writer;
 use commands::PruneError;
-use shaletide_net::{Clock, Driver, RequestRecorder};
+use shaletide_net::{thread_channel, Clock, Driver, RequestRecorder, ThreadReceiver};
 use shaletide_record::{Action, Event, Fact, KeyDecision, KeyRequest, RecordConfig, Recorder, ReplyId};
 use shaletide_record::{ResolveResult, StoreFailure, Ticket, Write};
 use shaletide_store::{SendError, StoreError, Writer, WriterEvent};
@@ -16,7 +16,7 @@
 use std::path::Path;
 use std::rc::{Rc, Weak};
 use std::time::Duration;
-use tokio::sync::{mpsc, oneshot, Notify};
+use tokio::sync::{oneshot, Notify};
 use tracing::{info, warn};
 
 /// Writes are sent again after this time where the writer's queue was full.
@@ -71,10 +71,10 @@
     /// Takes over what a store that was opened has, and starts its writer. The receiver is for [`RecordService::work`].
     ///
     /// # Errors
-    /// The system gives no thread.
+    /// The system gives no thread, or no descriptors to hear of it by.
     pub(crate) fn begin(
         path: &Path, contents: StoreContents, config: RecordConfig, clock: Clock, run: Run,
-    ) -> Result<(Rc<RecordService>, mpsc::UnboundedReceiver<WriterEvent>), StoreError> {
+    ) -> Result<(Rc<RecordService>, ThreadReceiver<WriterEvent>), StoreError> {
         let StoreContents { store, head, keys } = contents;
         info!("the store of record has {} rows and {} keys, head {}", head.seq, keys.len(), head);
         if head.seq == 0 && keys.is_empty() {
@@ -84,7 +84,8 @@
         let now = clock.now();
         let mut recorder = Recorder::new(config, random_secret(), now, now);
         // Bounded all the same: one or two events a ticket, and the recorder bounds its tickets.
-        let (sender, receiver) = mpsc::unbounded_channel();
+        let channel = thread_channel();
+        let (sender, receiver) = channel.map_err(|error| StoreError::Io(error.into()))?;
         let writer = start_writer(path.to_path_buf(), store, &head, sender);
         let writer = writer.map_err(|error| StoreError::Io(error.into()))?;
         let mut actions = Vec::new();
@@ -125,7 +126,7 @@
     }
 
     /// Handles what the writer reports and runs the recorder's timer, for as long as the program runs.
-    pub async fn work(self: Rc<Self>, mut writer_events: mpsc::UnboundedReceiver<WriterEvent>) {
+    pub async fn work(self: Rc<Self>, mut writer_events: ThreadReceiver<WriterEvent>) {
         let mut check = tokio::time::interval(SLOW_AFTER);
         loop {
             let timer_at = self.recorder.borrow().wake_at();
--- a/crates/record-service/src/store_writer.rs
+++ b/crates/record-service/src/store_writer.rs
@@ -1,11 +1,11 @@
 //! The store's writer as the service starts it.
 
 use crate::StoreError;
+use shaletide_net::ThreadSender;
 use shaletide_record::{chain, Row};
 use shaletide_store::{Head, Opening, SqliteOptions, SqliteStore, Store, Writer, WriterConfig, WriterEvent};
 use std::path::PathBuf;
 use std::sync::Arc;
-use tokio::sync::mpsc;
 
 /// So many rows may wait for the store's thread: as many as the recorder's own bounds, which come first; a row a ticket.
 const QUEUE_ROWS: usize = 80_000;
@@ -17,7 +17,7 @@
 /// # Errors
 /// The system gives no thread.
 pub(crate) fn start_writer(
-    path: PathBuf, store: SqliteStore, head: &Head, events: mpsc::UnboundedSender<WriterEvent>,
+    path: PathBuf, store: SqliteStore, head: &Head, events: ThreadSender<WriterEvent>,
 ) -> std::io::Result<Writer> {
     let mut first = Some(store);
     let opener = Box::new(move |opening: Opening| -> Result<Box<dyn Store>, StoreError> {
@@ -28,7 +28,7 @@
         Ok(Box::new(SqliteStore::open(&options)?))
     });
     let sums = Arc::new(|before: &[u8; 32], row: &Row| chain::sum(before, row));
-    let notify = Box::new(move |event| drop(events.send(event))); // the service may have ended
+    let notify = Box::new(move |event| events.send(event));
     let config =
         WriterConfig { queue: QUEUE_ROWS, queue_bytes: QUEUE_BYTES, ..WriterConfig::new(head.run + 1) };
     Writer::start(config, opener, sums, notify)
--- a/crates/shaletide/src/commands.rs
+++ b/crates/shaletide/src/commands.rs
@@ -2,6 +2,7 @@
 
 use crate::record::text;
 use shaletide_control::{Command, Reply};
+use shaletide_net::thread_channel;
 use shaletide_record::{Fact, KeyId};
 use shaletide_record_service::{Record, RecordService};
 use shaletide_store::{Query, SqliteReader, StoreReader};
@@ -50,23 +51,28 @@
 
 /// Records a correction of the row `of`, if there is such a row.
 async fn correct(service: &RecordService, store: PathBuf, of: u64, correction: Fact) -> Reply {
-    // On a thread beside the event loop: a disk may hang.
-    let found = tokio::task::spawn_blocking(move || has_row(&store, of)).await;
-    match found {
-        Ok(Ok(true)) if service.is_store_down() => Reply::Refused(STORE_DOWN.into()),
-        Ok(Ok(true)) => {
+    match find_row(store, of).await {
+        Ok(true) if service.is_store_down() => Reply::Refused(STORE_DOWN.into()),
+        Ok(true) => {
             service.record_fact(correction);
             match service.flush().await {
                 true => Reply::Done(format!("on record; row {of} stays as it is")),
                 false => Reply::Refused("not on record yet: nobody can tell whether it will be".into()),
             }
         }
-        Ok(Ok(false)) => Reply::Refused(format!("there is no row {of}")),
-        Ok(Err(why)) => Reply::Refused(why),
-        Err(error) => Reply::Refused(error.to_string()),
+        Ok(false) => Reply::Refused(format!("there is no row {of}")),
+        Err(why) => Reply::Refused(why),
     }
 }
 
+/// The same as [`has_row`], on a thread beside the event loop: a disk may hang.
+async fn find_row(store: PathBuf, of: u64) -> Result<bool, String> {
+    let (found_tx, mut found_rx) = thread_channel().map_err(|error| error.to_string())?;
+    let look = move || found_tx.send(has_row(&store, of));
+    std::thread::Builder::new().name("row".into()).spawn(look).map_err(|error| error.to_string())?;
+    found_rx.recv().await.unwrap_or_else(|| Err("the thread that looked has failed".into()))
+}
+
 /// Whether the store has a row of that number.
 fn has_row(store: &Path, of: u64) -> Result<bool, String> {
     let query = Query { after_seq: of.saturating_sub(1), limit: 1, ..Query::default() };
--- a/crates/shaletide/src/listening.rs
+++ b/crates/shaletide/src/listening.rs
@@ -5,7 +5,7 @@
 use crate::start_error::StartError;
 use shaletide_http::{listen, BoundSocket, ListenError};
 use shaletide_net::socket_table::Holders;
-use shaletide_net::{listen_failure, Driver, ListenFailure, SystemCall};
+use shaletide_net::{listen_failure, thread_channel, Driver, ListenFailure, SystemCall};
 use std::cell::Cell;
 use std::future::Future;
 use std::hash::{BuildHasher, Hasher};
@@ -280,16 +280,16 @@
 /// Who holds an address, with the processes that have the sockets open, read on a thread of its own; `None` where it
 /// cannot be seen.
 async fn holders_of(address: SocketAddr) -> Option<Holders> {
-    let (result_tx, result_rx) = oneshot::channel();
+    let (result_tx, mut result_rx) = thread_channel().ok()?;
     let read = move || {
         let mut holders = Holders::of(address).ok();
         if let Some(holders) = &mut holders {
             holders.find_processes();
         }
-        let _ = result_tx.send(holders); // the waiting task may have ended
+        result_tx.send(holders);
     };
     std::thread::Builder::new().name("sockets".into()).spawn(read).ok()?;
-    result_rx.await.ok().flatten()
+    result_rx.recv().await.flatten()
 }
 
 #[cfg(test)]
--- a/crates/shaletide/src/reload.rs
+++ b/crates/shaletide/src/reload.rs
@@ -3,10 +3,11 @@
 //! reason, is read again up to five times before that is logged as a warning.
 
 use crate::setup::Setup;
+use shaletide_net::{thread_channel, ThreadReceiver, ThreadSender};
+use std::io;
 use std::panic::{catch_unwind, AssertUnwindSafe};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
-use tokio::sync::mpsc;
 use tracing::{info, warn};
 
 /// Reads the configuration anew, given the running one; the text says why there is none. Called on a thread of its own:
@@ -41,8 +42,8 @@
 /// Has the configuration read at each SIGHUP. The last valid reading is applied.
 pub struct Reader {
     read: ReadConfiguration,
-    results_tx: mpsc::Sender<ReadResult>,
-    results_rx: mpsc::Receiver<ReadResult>,
+    /// Made at the first SIGHUP.
+    results: Option<(ThreadSender<ReadResult>, ThreadReceiver<ReadResult>)>,
     reads_in_progress: usize,
     last_begun: u64,
     last_applied: u64,
@@ -55,11 +56,9 @@
 
 impl Reader {
     pub fn new(read: ReadConfiguration) -> Reader {
-        let (results_tx, results_rx) = mpsc::channel(MAX_CONCURRENT_READS);
         Reader {
             read,
-            results_tx,
-            results_rx,
+            results: None,
             reads_in_progress: 0,
             last_begun: 0,
             last_applied: 0,
@@ -83,7 +82,7 @@
         loop {
             let next_retry = self.next_retry;
             tokio::select! {
-                Some(reading) = self.results_rx.recv() => {
+                Some(reading) = next_result(&mut self.results) => {
                     self.reads_in_progress -= 1;
                     if let Some(requested_at) = self.postponed.take() {
                         self.begin(requested_at, running);
@@ -127,18 +126,8 @@
             return;
         }
         let number = self.last_begun + 1;
-        let read = self.read.clone();
-        let running = running.clone();
-        let results = self.results_tx.clone();
-        let work = move || {
-            let result = catch_unwind(AssertUnwindSafe(|| read(&running)));
-            let result = result.unwrap_or_else(|_| Err("the reader has failed".into()));
-            let result = result.map_err(|cause| format!("nothing changes:\n{cause}"));
-            let _ = results.try_send(ReadResult { number, requested_at, result });
-            // the program may have stopped
-        };
-        match std::thread::Builder::new().name("reload".into()).spawn(work) {
-            Ok(_) => {
+        match self.spawn_reading(number, requested_at, running.clone()) {
+            Ok(()) => {
                 self.reads_in_progress += 1;
                 self.last_begun = number;
             }
@@ -148,6 +137,34 @@
             }
         }
     }
+
+    /// Reads on a thread of its own.
+    fn spawn_reading(&mut self, number: u64, requested_at: Instant, running: Arc<Setup>) -> io::Result<()> {
+        if self.results.is_none() {
+            self.results = Some(thread_channel()?);
+        }
+        let Some((sender, _)) = &self.results else { return Ok(()) };
+        let results = sender.clone();
+        let read = self.read.clone();
+        let work = move || {
+            let result = catch_unwind(AssertUnwindSafe(|| read(&running)));
+            let result = result.unwrap_or_else(|_| Err("the reader has failed".into()));
+            let result = result.map_err(|cause| format!("nothing changes:\n{cause}"));
+            results.send(ReadResult { number, requested_at, result });
+        };
+        std::thread::Builder::new().name("reload".into()).spawn(work)?;
+        Ok(())
+    }
+}
+
+/// The next result; pending where nothing was read yet.
+async fn next_result(
+    results: &mut Option<(ThreadSender<ReadResult>, ThreadReceiver<ReadResult>)>,
+) -> Option<ReadResult> {
+    match results {
+        Some((_, receiver)) => receiver.recv().await,
+        None => std::future::pending().await,
+    }
 }
 
 /// Waits until the retry is due and returns when it was requested; `None` at once where there is none.
