Receive signals by signalfd, blocked from the first instruction on

Callers saw: at SIGTERM (or SIGHUP) with an interrupted call the process aborted, 19 to 27 requests in flight without an answer; or the signal was lost and the process killed 3.7 s later.

Cause: the runtime's signal driver. Its handler writes to a socket pair and does not repeat an interrupted write; its reader panics at any error but WouldBlock.

Change: SIGTERM, SIGINT, SIGHUP and SIGXFSZ are blocked before main (.preinit_array), inherited by every thread, and read from a signalfd whose read is repeated at EINTR. No handler runs, so nothing of it can be interrupted; what comes before the event loop stands waits in the kernel. While the configuration is first read, which may block, a signal to stop still ends the program at once. Commands other than the daemon's unblock all of them. Ruled out: a thread in sigwaitinfo (a stack and a thread more, and it has to wake the event loop), a handler with a flag (needs a wake-up that can be lost, or polling).

--- a/crates/shaletide/src/daemon.rs
+++ b/crates/shaletide/src/daemon.rs
@@ -5,6 +5,7 @@
 use crate::listening::{ListenOutcomes, Listening};
 use crate::reload::{ReadConfiguration, Reader};
 use crate::setup::{RecordSetup, Setup};
+use crate::signals::SignalEvents;
 use crate::start_error::StartError;
 use crate::subscriptions::Subscriptions;
 use shaletide_balancer::EndpointUpdate;
@@ -17,7 +18,6 @@
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
-use tokio::signal::unix::Signal;
 use tokio::task::AbortHandle;
 use tracing::info;
 
@@ -99,7 +99,7 @@
     /// Serves until `stop` is ready, or until an address could not be listened on in the time that is allowed; then answers
     /// the requests that it has accepted and returns. At each SIGHUP the configuration is read again.
     pub async fn run(
-        mut self, read: ReadConfiguration, mut hangup: Option<Signal>, stop: impl Future<Output = ()>,
+        mut self, read: ReadConfiguration, signals: &SignalEvents, stop: impl Future<Output = ()>,
     ) -> RunReport {
         let ListenOutcomes { listeners, failure } = self.listening.outcomes();
         let reporter = self.spawn_reporter();
@@ -118,7 +118,7 @@
         loop {
             tokio::select! {
                 () = &mut served => break,
-                () = received(&mut hangup) => reader.hangup(&self.setup),
+                () = signals.hangup() => reader.hangup(&self.setup),
                 reading = reader.next(&self.setup) => {
                     let requested_at = reading.requested_at;
                     let applied = reading.result.and_then(|next| self.reload(next, requested_at));
@@ -199,13 +199,3 @@
     let opened = Record::open(&record.path, record.config.clone(), driver, run);
     opened.map_err(|error| StartError::Store(record.path.clone(), Box::new(error)))
 }
-
-/// Ready when the signal comes; never where none is handled.
-async fn received(signal: &mut Option<Signal>) {
-    if let Some(signal) = signal {
-        if signal.recv().await.is_some() {
-            return;
-        }
-    }
-    std::future::pending().await
-}
--- a/crates/shaletide/src/demo/mod.rs
+++ b/crates/shaletide/src/demo/mod.rs
@@ -15,6 +15,8 @@
 use crate::daemon::Daemon;
 use crate::reload::ReadConfiguration;
 use crate::setup::Setup;
+use crate::signals::{self, SignalEvents, SignalReceiver};
+use nix::sys::signal::Signal::SIGINT;
 use output::print_line;
 use report::{report, Report};
 use run::{DemoRun, SelfCheck};
@@ -22,6 +24,7 @@
 use shaletide_config::operator;
 use stage::Stage;
 use std::process::ExitCode;
+use std::rc::Rc;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 use tokio::sync::{oneshot, watch};
@@ -31,6 +34,7 @@
 
 /// Runs the demo and prints its report.
 pub fn run(args: &Demo, self_check: bool) -> ExitCode {
+    signals::block(&[SIGINT]); // the stand-ins' threads inherit it
     let _log = crate::log::start(tracing::Level::WARN);
     let demo_run = match run_on_stage(args, self_check) {
         Ok(demo_run) => demo_run,
@@ -79,8 +83,11 @@
     setup: Setup, stage: Stage, seconds: Duration, self_check: bool,
 ) -> Result<DemoRun, String> {
     let daemon = Daemon::start(setup, self_check, Instant::now()).map_err(|e| e.to_string())?;
+    let signals = Rc::new(SignalEvents::default());
+    let receiver = SignalReceiver::new(&[SIGINT]).map_err(|e| format!("no signals: {e}"))?;
+    tokio::task::spawn_local(signals.clone().receive(receiver));
     let (stop, stopped) = watch::channel(false);
-    tokio::task::spawn_local(handle_interrupts(stop));
+    tokio::task::spawn_local(handle_interrupts(signals.clone(), stop));
     let (ended_tx, ended) = oneshot::channel();
     let work = move || {
         let demo_run = play(&stage, seconds, stopped);
@@ -93,7 +100,7 @@
     let stop = async {
         let _ = ended.await; // a script that broke off has ended too
     };
-    let report = daemon.run(read_again, None, stop).await;
+    let report = daemon.run(read_again, &signals, stop).await;
     if let Some(failure) = report.failure {
         return Err(failure.to_string());
     }
@@ -106,12 +113,9 @@
 }
 
 /// The first SIGINT ends the load; the second, the program.
-async fn handle_interrupts(stop: watch::Sender<bool>) {
-    if tokio::signal::ctrl_c().await.is_ok() {
-        let _ = stop.send(true); // the script may be over
-        if tokio::signal::ctrl_c().await.is_ok() {
-            std::process::exit(i32::from(INTERRUPTED));
-        }
-    }
-    std::future::pending::<()>().await; // a sender that is gone would pass for a stop
+async fn handle_interrupts(signals: Rc<SignalEvents>, stop: watch::Sender<bool>) {
+    signals.stop().await;
+    let _ = stop.send(true); // the script may be over
+    signals.stop().await;
+    std::process::exit(i32::from(INTERRUPTED));
 }
--- a/crates/shaletide/src/main.rs
+++ b/crates/shaletide/src/main.rs
@@ -1,5 +1,5 @@
 //! The daemon's command line.
-#![forbid(unsafe_code)]
+#![deny(unsafe_code)]
 
 mod cli;
 mod commands;
@@ -17,6 +17,7 @@
 mod reload;
 mod retry;
 mod setup;
+mod signals;
 mod start;
 mod start_error;
 mod subscriptions;
@@ -36,6 +37,9 @@
 
 fn main() -> ExitCode {
     let cli = Cli::parse();
+    if !matches!(cli.command, None | Some(Command::Serve { .. })) {
+        signals::unblock_all();
+    }
     match cli.command {
         Some(Command::Serve { config }) => {
             let read_again: ReadConfiguration = Arc::new({
--- /dev/null
+++ b/crates/shaletide/src/signals/mod.rs
@@ -0,0 +1,56 @@
+//! The signals that the program handles: blocked in every thread from its first instruction on, and read from a
+//! descriptor by the event loop. No handler runs, so that nothing is lost or done twice where a call is interrupted, and a
+//! signal that comes before the event loop stands waits in the kernel.
+//!
+//! | Module | Concern |
+//! |---|---|
+//! | `low_level` | blocks the signals before `main`; the unsafe code |
+//! | `receiver` | reads them, repeated where a read is interrupted |
+//! | `events` | tells the parts of the daemon which signals have come |
+
+mod events;
+mod low_level;
+mod receiver;
+#[cfg(test)]
+mod tests;
+
+pub use events::SignalEvents;
+pub use receiver::SignalReceiver;
+
+use nix::sys::signal::{SigSet, Signal};
+
+/// The signals that end the program in an orderly way.
+pub const STOP_SIGNALS: [Signal; 2] = [Signal::SIGTERM, Signal::SIGINT];
+/// Those that the daemon receives: to stop, and to read the configuration again.
+pub const DAEMON_SIGNALS: [Signal; 3] = [Signal::SIGTERM, Signal::SIGINT, Signal::SIGHUP];
+/// Those that are blocked from the first instruction on. Of a file that reaches the limit on its size (SIGXFSZ) the failed
+/// write tells: a log or a store of record that is full is no reason to end.
+const BLOCKED_AT_START: [Signal; 4] = [Signal::SIGTERM, Signal::SIGINT, Signal::SIGHUP, Signal::SIGXFSZ];
+
+/// Blocks these signals in the calling thread, and in those that it starts from now on.
+pub fn block(signals: &[Signal]) {
+    // It fails for an invalid operation alone, and this one is constant.
+    let _ = set_of(signals).thread_block();
+}
+
+/// Unblocks these signals in the calling thread: one that has come takes effect at once.
+pub fn unblock(signals: &[Signal]) {
+    let _ = set_of(signals).thread_unblock(); // as above
+}
+
+/// Unblocks all that is blocked at the start, for commands that leave signals to the system.
+pub fn unblock_all() {
+    unblock(&BLOCKED_AT_START);
+}
+
+/// Makes a call that may block for long; a signal to stop ends the program at once meanwhile.
+pub fn stoppable<T>(call: impl FnOnce() -> T) -> T {
+    unblock(&STOP_SIGNALS);
+    let result = call();
+    block(&STOP_SIGNALS);
+    result
+}
+
+fn set_of(signals: &[Signal]) -> SigSet {
+    signals.iter().copied().collect()
+}
--- a/crates/shaletide/src/start/mod.rs
+++ b/crates/shaletide/src/start/mod.rs
@@ -3,20 +3,20 @@
 //! ends no process and keeps no other part from its work.
 
 pub mod configuration;
-pub mod signals;
 
 use crate::daemon::Daemon;
 use crate::log::say_failure;
 use crate::reload::ReadConfiguration;
 use crate::retry::{until_ready, RetryPolicy, StepNames, StepOutcome};
 use crate::setup::Setup;
+use crate::signals::{self, SignalEvents, SignalReceiver, DAEMON_SIGNALS};
+use crate::start_error::StartError;
 use configuration::SetupError;
 use shaletide_net::retry_shortage;
-use signals::{hangups, stops, Stop};
 use std::process::ExitCode;
+use std::rc::Rc;
 use std::time::{Duration, Instant};
 use tokio::runtime::Runtime;
-use tokio::signal::unix::Signal;
 use tokio::task::LocalSet;
 use tracing_appender::non_blocking::WorkerGuard;
 
@@ -73,16 +73,13 @@
     /// Starts the daemon with the configuration that `read` returns, and serves until a signal to stop.
     pub fn run(self, read: impl FnMut() -> Result<Setup, SetupError>) -> ExitCode {
         let begun = Instant::now();
-        // Until its handler stands SIGHUP ends the program: nothing comes before that but the command line.
-        let first = event_loop(Some(Duration::ZERO));
         let _log = start_log(self.shortage_patience);
-        let event_loop = first.or_else(|_| event_loop(self.shortage_patience));
-        let (runtime, hangup) = match event_loop {
-            Ok(event_loop) => event_loop,
+        let runtime = match event_loop(self.shortage_patience) {
+            Ok(runtime) => runtime,
             Err(failure) => return failure.report(),
         };
         let local = LocalSet::new();
-        let served = self.serve(&runtime, &local, hangup, read, begun);
+        let served = self.serve(&runtime, &local, read, begun);
         drop(local);
         runtime.shutdown_background(); // a thread may read from a disk that hangs
         match served {
@@ -92,30 +89,38 @@
     }
 
     fn serve(
-        self, runtime: &Runtime, local: &LocalSet, hangup: Signal,
-        mut read: impl FnMut() -> Result<Setup, SetupError>, begun: Instant,
+        self, runtime: &Runtime, local: &LocalSet, mut read: impl FnMut() -> Result<Setup, SetupError>,
+        begun: Instant,
     ) -> Result<(), Failure> {
-        let entered = runtime.enter();
-        // The first reading may block, on a pipe: a signal to stop ends the program at once until it is over.
-        let first = read();
-        let mut stop = stops(self.shortage_patience).map_err(Failure::failed)?;
-        drop(entered);
+        // The first reading may block, on a pipe. A SIGHUP that comes before its end has the file read once more, as the
+        // reading may have missed the change.
+        let first = signals::stoppable(&mut read);
+        let signals = self.receive_signals(runtime, local).map_err(Failure::failed)?;
         let setup = match StepOutcome::from(first) {
             StepOutcome::Ready(setup) => setup,
             StepOutcome::Fatal(error) => return Err(Failure::Invalid(error.to_string())),
-            StepOutcome::WaitFor(_) => match local.block_on(runtime, wait_for_setup(read, &mut stop)) {
+            StepOutcome::WaitFor(_) => match local.block_on(runtime, wait_for_setup(read, &signals)) {
                 Some(setup) => setup.map_err(|error| Failure::Invalid(error.to_string()))?,
                 None => return Ok(()),
             },
         };
-        local.block_on(runtime, self.serve_setup(setup, hangup, stop, begun))
+        local.block_on(runtime, self.serve_setup(setup, signals, begun))
+    }
+
+    /// Begins to receive signals.
+    fn receive_signals(&self, runtime: &Runtime, local: &LocalSet) -> Result<Rc<SignalEvents>, StartError> {
+        let _entered = runtime.enter();
+        let receiver = retry_shortage(self.shortage_patience, || SignalReceiver::new(&DAEMON_SIGNALS));
+        let events = Rc::new(SignalEvents::default());
+        local.spawn_local(events.clone().receive(receiver.map_err(StartError::Signals)?));
+        Ok(events)
     }
 
     async fn serve_setup(
-        self, setup: Setup, hangup: Signal, stop: Stop, begun: Instant,
+        self, setup: Setup, signals: Rc<SignalEvents>, begun: Instant,
     ) -> Result<(), Failure> {
         let daemon = Daemon::start(setup, self.self_check, begun).map_err(Failure::failed)?;
-        let report = daemon.run(self.read_again, Some(hangup), stop).await;
+        let report = daemon.run(self.read_again, &signals, signals.stop()).await;
         if let Some(failure) = report.failure {
             return Err(Failure::failed(failure));
         }
@@ -129,15 +134,9 @@
     }
 }
 
-/// The event loop, with its handler of SIGHUP.
-fn event_loop(patience: Option<Duration>) -> Result<(Runtime, Signal), Failure> {
+fn event_loop(patience: Option<Duration>) -> Result<Runtime, Failure> {
     let build = || tokio::runtime::Builder::new_current_thread().enable_all().build();
-    let runtime = retry_shortage(patience, build);
-    let runtime = runtime.map_err(|e| Failure::Failed(format!("no event loop: {e}")))?;
-    let entered = runtime.enter();
-    let hangup = hangups(patience).map_err(Failure::failed)?;
-    drop(entered);
-    Ok((runtime, hangup))
+    retry_shortage(patience, build).map_err(|e| Failure::Failed(format!("no event loop: {e}")))
 }
 
 /// Starts the log once the system gives threads. The log's library panics where it gets no thread, so that a thread which
@@ -152,11 +151,11 @@
 
 /// Reads the configuration until it is complete or invalid; `None` where a signal to stop comes before.
 async fn wait_for_setup(
-    mut read: impl FnMut() -> Result<Setup, SetupError>, stop: &mut Stop,
+    mut read: impl FnMut() -> Result<Setup, SetupError>, signals: &SignalEvents,
 ) -> Option<Result<Setup, SetupError>> {
     let setup = until_ready(CONFIGURATION_STEP, CONFIGURATION_RETRY, || StepOutcome::from(read()));
     tokio::select! {
         setup = setup => Some(setup),
-        () = stop => None,
+        () = signals.stop() => None,
     }
 }
