Log how each client's connection ends at a stop

Change: while the program shuts down, each connection that ends is logged with its reason and the time since the stop began: at info where its request has no answer or bytes of it are unread (with their age), else at debug. One line a connection, so bounded by their limit.

--- a/crates/http/src/serve.rs
+++ b/crates/http/src/serve.rs
@@ -55,6 +55,9 @@
     pub(crate) fn note_closed(&self, client: &Client, reason: CloseReason) {
         self.counters.closed.add(reason);
         client.trace_closed(self.driver.clock, reason);
+        if let Some(begun) = self.stop_begun.get() {
+            client.log_closed_at_stop(self.driver.clock.now() - begun, reason);
+        }
         if client.busy.get() && reason != CloseReason::Client {
             let number = client.number;
             let reason = reason.name();
--- a/crates/http/src/server.rs
+++ b/crates/http/src/server.rs
@@ -28,6 +28,8 @@
     /// State of the generator of ids for requests without one.
     pub(crate) id_state: Cell<u64>,
     pub(crate) next_connection: Cell<u64>,
+    /// Set during shutdown: when it began.
+    pub(crate) stop_begun: Cell<Option<Time>>,
     /// Set during shutdown: no request's deadline is later.
     pub(crate) stop_deadline: Cell<Option<Time>>,
     /// The latest deadline of all requests accepted so far.
@@ -56,6 +58,7 @@
             open_ids: RefCell::default(),
             id_state: Cell::new(seed),
             next_connection: Cell::default(),
+            stop_begun: Cell::default(),
             stop_deadline: Cell::default(),
             latest_deadline: Cell::default(),
             connection_ended: Notify::new(),
--- a/crates/http/src/shutdown.rs
+++ b/crates/http/src/shutdown.rs
@@ -59,6 +59,7 @@
         let longest = rules.longest_deadline().max(self.latest_deadline.get() - begun);
         let end = begun + longest.min(rules.max_stop_duration.unwrap_or(longest)) + STOP_MARGIN;
         let deadline = end - FLUSH_TIME;
+        self.stop_begun.set(Some(begun));
         self.stop_deadline.set(Some(deadline));
         self.accept_after_stop(&listeners).await;
         self.answer_open_requests(&mut listeners, deadline, rules.max_retry_after).await;
--- a/crates/http/src/trace.rs
+++ b/crates/http/src/trace.rs
@@ -4,9 +4,10 @@
 use crate::connection::Client;
 use crate::rules::Rules;
 use hyper::http::request::Parts;
-use shaletide_balancer::Time;
+use shaletide_balancer::{Micros, Time};
 use shaletide_net::{request_trace_enabled, Clock, RequestEvent, RequestTrace, REQUEST_TARGET};
 use std::rc::Rc;
+use tracing::{debug, info};
 
 impl Client {
     /// The connection was accepted.
@@ -19,6 +20,23 @@
         self.trace_connection("connection_closed", || clock.now(), Some(reason.name()));
     }
 
+    /// The connection has ended while the program shuts down: one line each, at info where a request of it has no answer.
+    pub(crate) fn log_closed_at_stop(&self, since_stop: Micros, reason: CloseReason) {
+        let (number, reason) = (self.number, reason.name());
+        let since_stop_ms = since_stop.0 / 1_000;
+        if self.busy.get() {
+            info!("connection {number} closed {since_stop_ms} ms after the stop began ({reason}): its request has no answer");
+        } else if self.stream.has_unread_bytes() {
+            let unread_ms = self.stream.since_last_received().as_millis();
+            info!(
+                "connection {number} closed {since_stop_ms} ms after the stop began ({reason}): bytes that came \
+                 {unread_ms} ms before are unread"
+            );
+        } else {
+            debug!("connection {number} closed {since_stop_ms} ms after the stop began ({reason}): idle");
+        }
+    }
+
     /// The time is asked for only where the event is logged.
     fn trace_connection(&self, event: &str, now: impl FnOnce() -> Time, reason: Option<&str>) {
         tracing::trace!(
