Soak: repeat a crossed request on a new connection, leave out holders' clients

Two faults of the soak, in the same records of what a client sent (each has its test).

A violation now says if its request was sent again.

It now tells which clients it had, and the oracle leaves out exactly their requests (proxy and client address); unanswered_request_is_left_out_only_if_a_holder_had_its_connection.

--- a/crates/shaletide/src/demo/report/tests.rs
+++ b/crates/shaletide/src/demo/report/tests.rs
@@ -37,7 +37,17 @@
 fn asked(run: &mut DemoRun, class: usize, number: u32, end: End) {
     let (arrived, latency) = (Time(3_000_000), Micros(9_000));
     let in_time = matches!(end, End::Status(_));
-    run.result.sent.push(Sent { class, number, arrived, latency, end, in_time, retry: false });
+    run.result.sent.push(Sent {
+        class,
+        number,
+        arrived,
+        latency,
+        end,
+        in_time,
+        retry: false,
+        resent: false,
+        client: None,
+    });
 }
 
 fn ran(run: &mut DemoRun, at_box: usize, class: usize, number: u32, at: Time) {
--- a/crates/soak/src/address.rs
+++ b/crates/soak/src/address.rs
@@ -5,6 +5,9 @@
 use std::io;
 use std::net::SocketAddr;
 
+/// Connections that a [`ConflictingListener`] has in its queue at most: more than the clients of a proxy open meanwhile.
+const HOLDER_BACKLOG: i32 = 1024;
+
 /// How a port is reserved for a proxy.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Reservation {
@@ -46,8 +49,8 @@
     pub fn occupy(&self) -> io::Result<ConflictingListener> {
         let socket = open(self.reservation)?;
         socket.bind(&self.address.into())?;
-        socket.listen(1)?;
-        Ok(ConflictingListener { _socket: socket })
+        socket.listen(HOLDER_BACKLOG)?;
+        Ok(ConflictingListener(socket))
     }
 }
 
@@ -60,8 +63,25 @@
     Ok(socket)
 }
 
-/// A listener that accepts nothing and keeps a proxy from listening.
+/// A listener that answers nothing and keeps a proxy from listening.
 #[derive(Debug)]
-pub struct ConflictingListener {
-    _socket: Socket,
+pub struct ConflictingListener(Socket);
+
+impl ConflictingListener {
+    /// Frees the address. Returns the clients whose connections came to this listener, and which it closes unanswered: an
+    /// earlier process of the proxy may still have clients, and on a shared port the kernel deals connections out.
+    ///
+    /// # Errors
+    /// Those of the system calls, but for an empty queue.
+    pub fn release(self) -> io::Result<Vec<SocketAddr>> {
+        self.0.set_nonblocking(true)?;
+        let mut clients = Vec::new();
+        loop {
+            match self.0.accept() {
+                Ok((_, client)) => clients.extend(client.as_socket()),
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => return Ok(clients),
+                Err(error) => return Err(error),
+            }
+        }
+    }
 }
--- a/crates/soak/src/oracle/evidence.rs
+++ b/crates/soak/src/oracle/evidence.rs
@@ -6,7 +6,8 @@
 use crate::settings::RunSettings;
 use shaletide_testkit::{Ledger, LoadResult, Record};
 use shaletide_types::{Micros, Time};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
 
 /// How long bytes may still be on their way after a link works again.
 const DELAYED_LINK_TAIL: Micros = Micros(500_000);
@@ -75,6 +76,8 @@
     pub processes: Vec<ProcessRecord>,
     /// What the clients of each got.
     pub clients: Vec<ClientRecords>,
+    /// Connections that came to a listener which holds a proxy's address: the proxy, and the client's own address.
+    pub clients_of_holders: BTreeSet<(usize, SocketAddr)>,
     /// Drains and removals.
     pub drains: Vec<DrainSpan>,
     /// Starts of backends, in order.
--- a/crates/soak/src/oracle/tests.rs
+++ b/crates/soak/src/oracle/tests.rs
@@ -1,7 +1,9 @@
 use super::*;
 use crate::proxies::ProcessRecord;
 use crate::settings::RunSettings;
-use shaletide_testkit::Ledger;
+use shaletide_testkit::{End, Ledger, LoadResult, Sent};
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
 use std::os::unix::process::ExitStatusExt;
 use std::path::PathBuf;
 
@@ -25,6 +27,7 @@
         ledger: Ledger::new(0),
         processes: vec![process(0)],
         clients: Vec::new(),
+        clients_of_holders: BTreeSet::new(),
         drains: Vec::new(),
         backend_starts: Vec::new(),
         discovery_outages: vec![Vec::new()],
@@ -88,3 +91,32 @@
     evidence.processes[0].exit = Some((Time(920_000), status(0)));
     assert_eq!(broken_invariants(&evidence), []);
 }
+
+/// Guards against a request that is reported as unanswered though a listener that holds the proxy's address had its
+/// connection, and against one that is left out on any other ground: seed 88107.
+#[test]
+fn unanswered_request_is_left_out_only_if_a_holder_had_its_connection() {
+    let client: SocketAddr = "127.0.0.1:50001".parse().unwrap();
+    let mut evidence = evidence(false);
+    evidence.processes[0].ready_at = Some(Time(100_000));
+    let sent = Sent {
+        class: 0,
+        number: 0,
+        arrived: Time(1_000_000),
+        latency: Micros(280_000),
+        end: End::Broken,
+        in_time: false,
+        retry: false,
+        resent: false,
+        client: Some(client),
+    };
+    let load = LoadResult { sent: vec![sent], ..LoadResult::default() };
+    evidence.clients = vec![ClientRecords { process: 0, load, disconnects: (1, Vec::new()) }];
+    assert_eq!(broken_invariants(&evidence), [Invariant::Answered]);
+    evidence.clients_of_holders = BTreeSet::from([(1, client), (0, "127.0.0.1:50002".parse().unwrap())]);
+    assert_eq!(broken_invariants(&evidence), [Invariant::Answered], "of another proxy, or another client");
+    evidence.clients_of_holders.insert((0, client));
+    assert_eq!(broken_invariants(&evidence), []);
+    evidence.clients[0].load.sent[0].client = None;
+    assert_eq!(broken_invariants(&evidence), [Invariant::Answered]);
+}
--- a/crates/soak/src/run/observations.rs
+++ b/crates/soak/src/run/observations.rs
@@ -7,6 +7,8 @@
 use crate::proxies::ProcessRecord;
 use shaletide_testkit::Told;
 use shaletide_types::Time;
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
 
 /// The end of a span that is still open.
 const OPEN: Time = Time(u64::MAX);
@@ -16,6 +18,7 @@
 pub(super) struct Observations {
     pub(super) processes: Vec<ProcessRecord>,
     pub(super) clients: Vec<ClientRecords>,
+    pub(super) clients_of_holders: BTreeSet<(usize, SocketAddr)>,
     pub(super) drains: Vec<DrainSpan>,
     discovery_outages: Vec<Vec<(Time, Time)>>,
     pub(super) discovery_moves: Vec<Vec<Time>>,
@@ -53,6 +56,7 @@
         let Observations {
             processes,
             clients,
+            clients_of_holders,
             drains,
             discovery_outages,
             discovery_moves,
@@ -65,6 +69,7 @@
             ledger: self.fleet.ledger(),
             processes,
             clients,
+            clients_of_holders,
             drains,
             discovery_outages,
             discovery_moves,
--- a/crates/soak/src/run/processes.rs
+++ b/crates/soak/src/run/processes.rs
@@ -132,7 +132,7 @@
         let is_config_complete = !matches!(process_start, ProcessStart::HalfConfiguration(_));
         let (child, process) = slot.start(&self.process_context(), is_config_complete)?;
         let unblocked = match (occupied, process_start) {
-            (Some((millis, Ok(listener))), _) => Some(self.release_address_later(listener, millis)),
+            (Some((millis, Ok(listener))), _) => Some(self.release_address_later(proxy, listener, millis)),
             (_, ProcessStart::HalfConfiguration(millis)) => Some(self.complete_config_later(proxy, millis)),
             _ => None,
         };
@@ -141,12 +141,15 @@
 
     /// Frees an occupied address after so many milliseconds.
     fn release_address_later(
-        self: &Arc<Testbed>, listener: ConflictingListener, millis: u64,
+        self: &Arc<Testbed>, proxy: usize, listener: ConflictingListener, millis: u64,
     ) -> JoinHandle<Time> {
         let testbed = self.clone();
         tokio::spawn(async move {
             tokio::time::sleep(Duration::from_millis(millis)).await;
-            drop(listener);
+            // Where they cannot be told, a request of theirs is reported.
+            let clients = listener.release().unwrap_or_default();
+            let clients = clients.into_iter().map(|client| (proxy, client));
+            testbed.observations().clients_of_holders.extend(clients);
             testbed.clock.now()
         })
     }
--- a/crates/soak/tests/verdict_identity.rs
+++ b/crates/soak/tests/verdict_identity.rs
@@ -80,6 +80,8 @@
                 end: self.end(),
                 in_time: true,
                 retry: false,
+                resent: false,
+                client: None,
             });
         }
         (load.mixed_up, load.overfull) = (self.below(2), self.below(2));
@@ -168,6 +170,7 @@
         Evidence {
             ledger,
             processes,
+            clients_of_holders: Default::default(),
             clients,
             drains: drains.collect(),
             backend_starts: (0..2)
--- a/crates/testkit/src/load/http.rs
+++ b/crates/testkit/src/load/http.rs
@@ -39,6 +39,11 @@
         Ok(Link { wire: Wire::new(tcp), used: false })
     }
 
+    /// The client's own address.
+    pub fn client(&self) -> Option<SocketAddr> {
+        self.wire.tcp.local_addr().ok()
+    }
+
     /// Whether it is still up, with nothing on it.
     pub fn at_rest(&self) -> bool {
         self.wire.at_rest()
--- a/crates/testkit/src/load/mod.rs
+++ b/crates/testkit/src/load/mod.rs
@@ -120,7 +120,7 @@
     /// A client waits so long beyond its deadline before it leaves, so that late answers are seen.
     pub patience: Duration,
     /// A request whose kept connection ends at once, with no byte of an answer, is sent once more under the same
-    /// id: the proxy closed it in the same moment.
+    /// id, on a new connection: the proxy closed the old one in the same moment.
     pub resend: bool,
     /// Once true, no connection is opened any more, as by a front that has been told that its proxy ends: a request that
     /// finds none at rest is left out.
--- a/crates/testkit/src/load/result.rs
+++ b/crates/testkit/src/load/result.rs
@@ -2,6 +2,7 @@
 
 use shaletide_types::{Micros, Time};
 use std::collections::BTreeMap;
+use std::net::SocketAddr;
 
 /// How a request ended for its client.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -33,6 +34,10 @@
     pub in_time: bool,
     /// It repeats one that was refused.
     pub retry: bool,
+    /// It crossed the close of a kept connection, and was sent again on a new one.
+    pub resent: bool,
+    /// The client's own address on the connection that it was sent on last.
+    pub client: Option<SocketAddr>,
 }
 
 /// The results of one class, retries included.
--- a/crates/testkit/src/load/run.rs
+++ b/crates/testkit/src/load/run.rs
@@ -39,6 +39,15 @@
     retry: bool,
 }
 
+/// How a request was sent.
+#[derive(Clone, Copy, Default)]
+struct Trail {
+    /// It crossed the close of a kept connection, and was sent again.
+    resent: bool,
+    /// The client's own address on the last connection.
+    client: Option<SocketAddr>,
+}
+
 fn locked<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
@@ -132,7 +141,9 @@
         let number = self.next.fetch_add(1, Ordering::Relaxed);
         let id = locked(&self.result).id(number);
         let deadline = arrival.at + self.load.classes[arrival.class].deadline;
-        let (end, answer) = match self.exchange(arrival, &id, deadline + self.load.patience).await {
+        let mut trail = Trail::default();
+        let exchange = self.exchange(arrival, &id, deadline + self.load.patience, &mut trail).await;
+        let (end, answer) = match exchange {
             Ok(Exchange::Answer(message)) => (End::Status(message.status()), Some(message)),
             Ok(Exchange::Broken { .. }) => (End::Broken, None),
             Ok(Exchange::GaveUp) => (End::GaveUp, None),
@@ -152,6 +163,8 @@
             end,
             in_time: answer.is_some() && now <= deadline,
             retry: arrival.retry,
+            resent: trail.resent,
+            client: trail.client,
         };
         let mut result = locked(&self.result);
         result.mixed_up += u64::from(answer.as_ref().is_some_and(|a| is_anothers(a, &id)));
@@ -163,7 +176,10 @@
         answer
     }
 
-    async fn exchange(&self, arrival: Arrival, id: &str, until: Instant) -> std::io::Result<Exchange> {
+    /// Sends a request, once more if it crosses the close of its connection.
+    async fn exchange(
+        &self, arrival: Arrival, id: &str, until: Instant, trail: &mut Trail,
+    ) -> std::io::Result<Exchange> {
         let class = &self.load.classes[arrival.class];
         let deadline = arrival.at + class.deadline;
         let free = self.places.try_acquire();
@@ -177,9 +193,9 @@
                 }
             }
         };
-        let mut resends = u32::from(self.load.resend);
         loop {
-            let mut link = self.link(until).await?;
+            let mut link = if trail.resent { self.new_link(until).await? } else { self.link(until).await? };
+            trail.client = link.client();
             let (used, written) = (link.used, Instant::now());
             let left = deadline.saturating_duration_since(written);
             if left < LEAST {
@@ -189,10 +205,11 @@
             let exchange = link.ask(&request, class.method(), until).await;
             if matches!(exchange, Exchange::Broken { began: false })
                 && used
-                && resends > 0
+                && self.load.resend
+                && !trail.resent
                 && written.elapsed() < CROSSED
             {
-                resends -= 1;
+                trail.resent = true;
                 locked(&self.result).resent += 1;
                 continue;
             }
@@ -213,6 +230,11 @@
                 None => break,
             }
         }
+        self.new_link(until).await
+    }
+
+    /// A new connection; the error `NotConnected` where none may be opened.
+    async fn new_link(&self, until: Instant) -> std::io::Result<Link> {
         if !self.load.may_connect() {
             return Err(std::io::ErrorKind::NotConnected.into());
         }
--- a/crates/testkit/src/load/run/tests.rs
+++ b/crates/testkit/src/load/run/tests.rs
@@ -1,5 +1,6 @@
 //! Tests of `run` that need its private items.
 
+use super::super::LoadClass;
 use super::*;
 
 #[test]
@@ -20,3 +21,37 @@
     assert!(!is_anothers(&answer("b0 7\n..."), "7"));
     assert!(!is_anothers(&answer("other"), "7"), "not a box's own");
 }
+
+/// A proxy that closes each connection as a second request comes on it, unread. The first two answers wait for each other,
+/// so that two connections are kept.
+fn closes_kept_connections(listener: std::net::TcpListener) {
+    use std::io::{Read, Write};
+    let both = Arc::new(std::sync::Barrier::new(2));
+    for (number, tcp) in listener.incoming().flatten().enumerate() {
+        let both = both.clone();
+        let mut tcp = tcp;
+        std::thread::spawn(move || {
+            let _ = tcp.read(&mut [0; 4096]);
+            if number < 2 {
+                both.wait();
+            }
+            let _ = tcp.write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+            let _ = tcp.peek(&mut [0]);
+        });
+    }
+}
+
+/// Guards against a request that crosses the close of its connection being sent again on a kept one, which is closed in the
+/// same moment as its proxy stops: soak seed 93037.
+#[test]
+fn request_that_crosses_a_close_is_sent_again_on_a_new_connection() {
+    let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+    let to = listener.local_addr().unwrap();
+    std::thread::spawn(move || closes_kept_connections(listener));
+    let class = LoadClass::new("read", shaletide_types::Idempotency::Safe, Duration::from_secs(5));
+    let load = Load::new(100.0, vec![class], Duration::from_millis(300));
+    let result = load.run_blocking(to).unwrap();
+    let ends: Vec<End> = result.sent.iter().map(|sent| sent.end).collect();
+    assert!(ends.iter().all(|end| *end == End::Status(200)), "{ends:?}");
+    assert!(result.resent > 0 && result.sent.iter().any(|sent| sent.resent), "{ends:?}");
+}
