Log each step of a start with its time, and the first readiness probe

Change: lines at info as the event loop is built, the configuration has been read for the first time, signals are received and all parts are started, each with the time since the program's first moment, and one as the first probe is answered. Waits for an address, a configuration, the store or a shortage have had a line a second already.

Result: log_names_each_step_of_a_start_with_its_time_in_order passes.

--- a/crates/http/src/proxy.rs
+++ b/crates/http/src/proxy.rs
@@ -32,7 +32,7 @@
         client.trace_request(self.driver.clock, &rules, &head);
         let result = match (check_target(&head), head.uri.path()) {
             (Err(error), _) => Err(error),
-            (Ok(()), "/-/ready") => ready(client, &rules, &head, &body),
+            (Ok(()), "/-/ready") => self.answer_probe(client, &rules, &head, &body),
             (Ok(()), _) => self.proxy(client, &rules, head, body).await,
         };
         // What follows an invalid request on its connection may be no request at all.
@@ -47,6 +47,17 @@
         response
     }
 
+    /// Answers the probe whether the proxy is ready, and logs the first answer that says so.
+    fn answer_probe(
+        &self, client: &Client, rules: &Rules, head: &Parts, body: &Incoming,
+    ) -> Result<Response<Full<Bytes>>, RequestError> {
+        let response = ready(client, rules, head, body)?;
+        if !self.ready_answered.replace(true) {
+            tracing::info!("start: the first readiness probe was answered: ready");
+        }
+        Ok(response)
+    }
+
     fn reject(&self, client: &Client, rules: &Rules, error: RequestError) -> Response<Full<Bytes>> {
         client.trace(|trace| trace.rejected(error));
         self.counters.rejected.increment();
--- a/crates/http/src/server.rs
+++ b/crates/http/src/server.rs
@@ -28,6 +28,8 @@
     /// State of the generator of ids for requests without one.
     pub(crate) id_state: Cell<u64>,
     pub(crate) next_connection: Cell<u64>,
+    /// The first probe whether the proxy is ready was answered.
+    pub(crate) ready_answered: Cell<bool>,
     /// Set during shutdown: when it began.
     pub(crate) stop_begun: Cell<Option<Time>>,
     /// Set during shutdown: no request's deadline is later.
@@ -58,6 +60,7 @@
             open_ids: RefCell::default(),
             id_state: Cell::new(seed),
             next_connection: Cell::default(),
+            ready_answered: Cell::default(),
             stop_begun: Cell::default(),
             stop_deadline: Cell::default(),
             latest_deadline: Cell::default(),
--- a/crates/shaletide/src/start/mod.rs
+++ b/crates/shaletide/src/start/mod.rs
@@ -3,6 +3,7 @@
 //! ends no process and keeps no other part from its work.
 
 pub mod configuration;
+mod step_log;
 
 use crate::daemon::Daemon;
 use crate::log::say_failure;
@@ -16,6 +17,7 @@
 use std::process::ExitCode;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
+use step_log::{log_step, StartStep};
 use tokio::runtime::Runtime;
 use tokio::task::LocalSet;
 use tracing_appender::non_blocking::WorkerGuard;
@@ -78,6 +80,7 @@
             Ok(runtime) => runtime,
             Err(failure) => return failure.report(),
         };
+        log_step(begun, StartStep::EventLoopBuilt);
         let local = LocalSet::new();
         let served = self.serve(&runtime, &local, read, begun);
         drop(local);
@@ -95,7 +98,9 @@
         // The first reading may block, on a pipe. A SIGHUP that comes before its end has the file read once more, as the
         // reading may have missed the change.
         let first = signals::stoppable(&mut read);
+        log_step(begun, StartStep::ConfigurationRead);
         let signals = self.receive_signals(runtime, local).map_err(Failure::failed)?;
+        log_step(begun, StartStep::SignalsReceived);
         let setup = match StepOutcome::from(first) {
             StepOutcome::Ready(setup) => setup,
             StepOutcome::Fatal(error) => return Err(Failure::Invalid(error.to_string())),
@@ -120,6 +125,7 @@
         self, setup: Setup, signals: Rc<SignalEvents>, begun: Instant,
     ) -> Result<(), Failure> {
         let daemon = Daemon::start(setup, self.self_check, begun).map_err(Failure::failed)?;
+        log_step(begun, StartStep::PartsStarted);
         let report = daemon.run(self.read_again, &signals, signals.stop()).await;
         if let Some(failure) = report.failure {
             return Err(Failure::failed(failure));
--- a/crates/shaletide/tests/start_configuration.rs
+++ b/crates/shaletide/tests/start_configuration.rs
@@ -72,3 +72,27 @@
     command.stderr(std::os::fd::OwnedFd::from(theirs));
     assert_eq!(command.status().unwrap().code(), Some(2));
 }
+
+/// Guards against a start that does not get ready and whose log names none of its steps (brink seed 44003).
+#[test]
+fn log_names_each_step_of_a_start_with_its_time_in_order() {
+    let (discovery, door) = (DiscoveryServer::start(), Refusing::new());
+    let path = path("steps");
+    std::fs::write(&path, whole(&discovery, &door)).unwrap();
+    let mut proxy = program().launch_with(door.address(), &path);
+    assert!(proxy.until_ready().is_some());
+    let steps = [
+        "start: event loop built after ",
+        "start: first reading of the configuration ended after ",
+        "start: signals received after ",
+        "start: parts started after ",
+        "start: the first readiness probe was answered: ready",
+    ];
+    let mut from = 0;
+    for step in steps {
+        let (at, line) = proxy.log.wait(from, |line| line.contains(step)).expect(step);
+        assert!(line.ends_with(" ms") || step.ends_with("ready"), "{line}");
+        from = at + 1;
+    }
+    assert_eq!(proxy.log.since(0).iter().filter(|line| line.contains("first readiness probe")).count(), 1);
+}
