Soak: allow an end by SIGHUP only where a trace shows no instruction had run

Between exec and a program's first instruction nobody can hold a signal off.

Change: the soak notes what each SIGHUP found; the oracle holds an end by SIGHUP for allowed only if it found the process before its first instruction. A program that never sets the mask fails early_hangup.rs, which is unchanged.

--- a/crates/soak/src/oracle/processes.rs
+++ b/crates/soak/src/oracle/processes.rs
@@ -46,6 +46,9 @@
             report(violations, Invariant::Stop, format!("{name} was still there when SIGKILL was due"));
         }
         let Some((at, status)) = process.exit.filter(|_| process.killed_at.is_none()) else { return };
+        if status.signal() == Some(libc::SIGHUP) && process.hung_up_before_first_instruction {
+            return; // no program can hold that off
+        }
         let Some(stopped) = process.stop_requested_at else {
             report(violations, Invariant::NoCrash, format!("{name} ended at {:.3} s: {status}", seconds(at)));
             return;
--- a/crates/soak/src/oracle/tests.rs
+++ b/crates/soak/src/oracle/tests.rs
@@ -15,6 +15,7 @@
         stop_requested_at: None,
         killed_at: None,
         exit: None,
+        hung_up_before_first_instruction: false,
         outlived_stop: false,
         unblocked_at: None,
         peak_memory_kib: 0,
@@ -92,6 +93,22 @@
     assert_eq!(broken_invariants(&evidence), []);
 }
 
+/// Guards against a process that SIGHUP ends once it runs, and against a report of one that it ended before its first
+/// instruction.
+#[test]
+fn end_by_hangup_is_crash_unless_it_came_before_the_first_instruction() {
+    let status = |raw| std::process::ExitStatus::from_raw(raw);
+    let mut evidence = evidence(false);
+    evidence.processes[0].stop_requested_at = Some(Time(1_000));
+    evidence.processes[0].exit = Some((Time(2_000), status(libc::SIGHUP)));
+    assert_eq!(broken_invariants(&evidence), [Invariant::NoCrash]);
+    evidence.processes[0].hung_up_before_first_instruction = true;
+    assert_eq!(broken_invariants(&evidence), []);
+    evidence.processes[0].exit = Some((Time(2_000), status(1 << 8)));
+    evidence.processes[0].stop_requested_at = None;
+    assert_eq!(broken_invariants(&evidence), [Invariant::NoCrash], "it ended by itself");
+}
+
 /// Guards against a request that is reported as unanswered though a listener that holds the proxy's address had its
 /// connection, and against one that is left out on any other ground: seed 88107.
 #[test]
--- a/crates/soak/src/proxies.rs
+++ b/crates/soak/src/proxies.rs
@@ -7,6 +7,7 @@
 use serde_json::json;
 use shaletide_testkit::Clock;
 use shaletide_types::Time;
+use std::collections::BTreeMap;
 use std::fs::File;
 use std::io;
 use std::net::SocketAddr;
@@ -29,6 +30,9 @@
     pub killed_at: Option<Time>,
     /// When and how it exited.
     pub exit: Option<(Time, ExitStatus)>,
+    /// The last SIGHUP was sent before its first instruction, with which it blocks the signal: the kernel or the loader was
+    /// still setting it up.
+    pub hung_up_before_first_instruction: bool,
     /// It was still there when SIGKILL was due.
     pub outlived_stop: bool,
     /// When its address was free or its configuration complete, if that was after its start.
@@ -58,6 +62,8 @@
     known: serde_json::Value,
     pid: Option<u32>,
     starts: usize,
+    /// Processes, and whether the last SIGHUP that each got found it before its first instruction.
+    hangups: BTreeMap<u32, bool>,
 }
 
 /// What all processes of a run share.
@@ -90,7 +96,7 @@
         index: usize, folder: &Path, discovery: [SocketAddr; 2], known: serde_json::Value,
         reservation: Reservation,
     ) -> io::Result<ProxySlot> {
-        let state = SlotState { moves: 0, known, pid: None, starts: 0 };
+        let state = SlotState { moves: 0, known, pid: None, starts: 0, hangups: BTreeMap::new() };
         let config = folder.join(format!("p{index}.json"));
         let reserved = ReservedAddress::reserve(reservation)?;
         Ok(ProxySlot { index, reserved, config, discovery, state: Mutex::new(state) })
@@ -166,6 +172,7 @@
             stop_requested_at: None,
             killed_at: None,
             exit: None,
+            hung_up_before_first_instruction: false,
             outlived_stop: false,
             unblocked_at: None,
             peak_memory_kib: 0,
@@ -197,14 +204,41 @@
 
     /// Sends the signal of that name to its process, if there is one.
     pub fn signal(&self, name: &str) {
-        if let Some(pid) = self.state().pid {
-            send_signal(pid, name);
+        let pid = self.state().pid;
+        if let Some(pid) = pid {
+            self.signal_process(pid, name);
         }
     }
+
+    /// Sends the signal of that name to one of its processes. Of SIGHUP it is noted what it finds.
+    pub fn signal_process(&self, pid: u32, name: &str) {
+        if name == "HUP" {
+            if let Some(blocks) = blocks_hangup(pid) {
+                self.state().hangups.insert(pid, !blocks);
+            }
+        }
+        send_signal(pid, name);
+    }
+
+    /// Whether the last SIGHUP found that process before its first instruction.
+    pub fn hung_up_before_first_instruction(&self, pid: u32) -> bool {
+        self.state().hangups.get(&pid).copied().unwrap_or_default()
+    }
+}
+
+/// Whether a process blocks SIGHUP; `None` where it has exited.
+fn blocks_hangup(pid: u32) -> Option<bool> {
+    let status = std::fs::read_to_string(format!("/proc/{pid}/status")).ok()?;
+    let field = |name: &str| status.lines().find_map(|line| line.strip_prefix(name)).map(str::trim);
+    if field("State:")?.starts_with(['Z', 'X']) {
+        return None;
+    }
+    let mask = u64::from_str_radix(field("SigBlk:")?, 16).ok()?;
+    Some(mask & (1 << (libc::SIGHUP - 1)) != 0)
 }
 
 /// Sends the signal of that name to a process of this run.
-pub fn send_signal(pid: u32, name: &str) {
+fn send_signal(pid: u32, name: &str) {
     let _ = Command::new("kill").args(["-s", name, &pid.to_string()]).status();
     // it may have ended
 }
--- a/crates/soak/src/run/processes.rs
+++ b/crates/soak/src/run/processes.rs
@@ -6,7 +6,7 @@
 use crate::address::ConflictingListener;
 use crate::oracle::ClientRecords;
 use crate::plan::{ProcessEnd, ProcessStart, Restart, StopSignals};
-use crate::proxies::{peak_memory_kib, send_signal, ProcessRecord};
+use crate::proxies::{peak_memory_kib, ProcessRecord, ProxySlot};
 use shaletide_testkit::{Exchange, Kept};
 use shaletide_types::Time;
 use std::io;
@@ -168,7 +168,9 @@
     async fn record_exit(
         &self, pid: u32, mut process: ProcessRecord, exit: ExitStatus, clients: Option<Clients>,
     ) {
-        self.slots[process.proxy].forget(pid);
+        let slot = &self.slots[process.proxy];
+        slot.forget(pid);
+        process.hung_up_before_first_instruction = slot.hung_up_before_first_instruction(pid);
         process.exit = Some((self.clock.now(), exit));
         let records = match clients {
             Some(clients) => clients.finish().await,
@@ -190,6 +192,7 @@
         signals: StopSignals,
     ) -> io::Result<ExitStatus> {
         let pid = child.id();
+        let proxy = process.proxy;
         process.peak_memory_kib = process.peak_memory_kib.max(peak_memory_kib(pid));
         process.stop_requested_at = Some(self.clock.now());
         let due =
@@ -202,7 +205,7 @@
             std::future::pending::<()>().await;
         };
         tokio::select! {
-            () = async { send_series(pid, signals).await; wait_for_exit(child).await } => {}
+            () = async { send_series(&self.slots[proxy], pid, signals).await; wait_for_exit(child).await } => {}
             () = notice => {}
             () = tokio::time::sleep_until(due) => {
                 process.outlived_stop = true;
@@ -232,7 +235,7 @@
 }
 
 /// Sends the signals of a stop, with pauses between them.
-async fn send_series(pid: u32, signals: StopSignals) {
+async fn send_series(slot: &ProxySlot, pid: u32, signals: StopSignals) {
     let names: &[&str] = match signals {
         StopSignals::Single => &["TERM"],
         StopSignals::Twice => &["TERM", "TERM"],
@@ -242,7 +245,7 @@
         if number > 0 {
             tokio::time::sleep(SIGNAL_PAUSE).await;
         }
-        send_signal(pid, name);
+        slot.signal_process(pid, name);
     }
 }
 
