--- a/crates/soak/shim/lib.rs
+++ b/crates/soak/shim/lib.rs
@@ -29,7 +29,7 @@
 const TCP_OPENED: u8 = 2;
 const FILE: u8 = 3;
 const SIGNAL_FD: u8 = 4;
-const EVENT_FD: u8 = 5;
+const WAKER: u8 = 5;
 
 static KINDS: [AtomicU8; MAX_DESCRIPTORS] = [const { AtomicU8::new(OTHER) }; MAX_DESCRIPTORS];
 static CONTROL: AtomicPtr<u8> = AtomicPtr::new(std::ptr::null_mut());
@@ -270,7 +270,7 @@
     if interrupts_signal(fd, CallFault::InterruptedSignalWrite) {
         return fail(libc::EINTR) as ssize_t;
     }
-    if kind(fd) == EVENT_FD && fails(CallFault::InterruptedWake) {
+    if kind(fd) == WAKER && fails(CallFault::InterruptedWake) {
         return fail(libc::EINTR) as ssize_t;
     }
     if is_tcp(fd) {
@@ -414,11 +414,23 @@
 pub unsafe extern "C" fn eventfd(count: c_uint, flags: c_int) -> c_int {
     let made = libc::syscall(libc::SYS_eventfd2, count, flags) as c_int;
     if made >= 0 {
-        set_kind(made, EVENT_FD);
+        set_kind(made, WAKER);
     }
     made
 }
 
+/// # Safety
+/// As for the function of the C library.
+#[no_mangle]
+pub unsafe extern "C" fn pipe2(ends: *mut c_int, flags: c_int) -> c_int {
+    let result = libc::syscall(libc::SYS_pipe2, ends, flags) as c_int;
+    if result == 0 {
+        set_kind(*ends, WAKER);
+        set_kind(*ends.add(1), WAKER);
+    }
+    result
+}
+
 /// # Safety
 /// As for the function of the C library.
 #[no_mangle]
--- a/crates/soak/src/call_faults.rs
+++ b/crates/soak/src/call_faults.rs
@@ -42,7 +42,7 @@
     InterruptedSignalRead,
     /// A write to a Unix socket, by which a handler reports a signal, fails with EINTR and has written nothing.
     InterruptedSignalWrite,
-    /// A write to an eventfd, by which a thread wakes the event loop, fails with EINTR.
+    /// A write to an eventfd or a pipe, by which the event loop is woken, fails with EINTR.
     InterruptedWake,
 }
 
--- a/crates/soak/tests/signal_path.rs
+++ b/crates/soak/tests/signal_path.rs
@@ -8,7 +8,7 @@
 use std::process::ExitStatus;
 use std::time::{Duration, Instant};
 
-/// So many calls in a row are interrupted.
+/// So many calls are interrupted at the least.
 const INTERRUPTIONS: u32 = 3;
 /// SIGKILL comes so long after SIGTERM with the deadlines of these settings.
 const KILL: Duration = Duration::from_millis(3700);
@@ -119,6 +119,22 @@
     testbed.is_answered_and_ends(client);
 }
 
+/// Guards against a process that aborts as its event loop is interrupted while it wakes itself for an earlier timer.
+#[test]
+fn interrupted_wake_for_a_timer_ends_no_process() {
+    let mut testbed = Testbed::start();
+    testbed.control.set(CallFault::InterruptedWake, 0.9).unwrap();
+    let until = Instant::now() + Duration::from_secs(2);
+    while testbed.control.count(CallFault::InterruptedWake).unwrap() < INTERRUPTIONS && Instant::now() < until
+    {
+        assert_eq!(testbed.proxy.ask(&read(3.0)).status(), 200);
+    }
+    assert!(testbed.control.count(CallFault::InterruptedWake).unwrap() >= INTERRUPTIONS);
+    let client = testbed.client_in_flight();
+    testbed.proxy.signal("TERM");
+    testbed.is_answered_and_ends(client);
+}
+
 /// Guards against a process that aborts at a reload as the thread that has read the configuration is interrupted while it
 /// wakes the event loop.
 #[test]
