--- a/crates/shaletide/src/descriptors.rs
+++ b/crates/shaletide/src/descriptors.rs
@@ -9,8 +9,8 @@
 use shaletide_http::CLIENT_OVERFLOW;
 use tracing::warn;
 
-/// What every process holds. Seen in use: 3 standard streams, 7 of the event loop and of signals, a listener, a call to
-/// discovery; 4 for configuration files that are being read; 8 are spare.
+/// What every process holds. Seen in use: 3 standard streams, 5 of the event loop and of signals, 2 by which threads report a
+/// reload, a listener, a call to discovery; 4 for configuration files that are being read; 8 are spare.
 const PROCESS: usize = 24;
 /// Listeners and calls to discovery that [`PROCESS`] has room for, one of each.
 const COUNTED_IN_PROCESS: usize = 1;
