--- a/crates/soak/src/proxies.rs
+++ b/crates/soak/src/proxies.rs
@@ -226,8 +226,8 @@
     }
 }
 
-/// Whether a process blocks SIGHUP; `None` where it has exited.
-fn blocks_hangup(pid: u32) -> Option<bool> {
+/// Whether a process blocks SIGHUP, as the program does from its first instruction on; `None` where it has exited.
+pub fn blocks_hangup(pid: u32) -> Option<bool> {
     let status = std::fs::read_to_string(format!("/proc/{pid}/status")).ok()?;
     let field = |name: &str| status.lines().find_map(|line| line.strip_prefix(name)).map(str::trim);
     if field("State:")?.starts_with(['Z', 'X']) {
