Block signals before the dynamic loader runs, at an entry of the program's own

What callers saw: a SIGHUP within the first millisecond of a process ended it, before it had taken a request.

Cause: the kernel started the program in the dynamic loader, which worked for some 0.5 ms (more in debug builds and under a preloaded library) before the program's first instruction could block the signal.

Change: the program is linked without PT_INTERP, so that the kernel starts it at its own entry (crate entry-point). That blocks the signals by its ninth instruction, maps the loader as the kernel would have, names it in the auxiliary vector, and jumps to it; the loader does all that it did and comes back to the entry, which goes on to _start. x86-64 with glibc; other targets keep the ordinary start with the mask in .preinit_array. docs/design/program-entry.md.

Why this works: every instruction of the loader, the libraries and the C library now comes after the mask. What is left is the kernel's exec, as for any program.

The record's tests of a loader that the kernel starts go on with the control program, which has one. The control of the boundary is now a static program without libraries, which is stricter. Two mutants: the mask after the loader, and in main.

Also tried by hand: GNU ld in place of lld; gdb (attached, and by run with `sharedlibrary`).

--- a/crates/shaletide/src/signals/mod.rs
+++ b/crates/shaletide/src/signals/mod.rs
@@ -27,6 +27,7 @@
 /// Those that are blocked from the first instruction on. Of a file that reaches the limit on its size (SIGXFSZ) the failed
 /// write tells: a log or a store of record that is full is no reason to end.
 const BLOCKED_AT_START: [Signal; 4] = [Signal::SIGTERM, Signal::SIGINT, Signal::SIGHUP, Signal::SIGXFSZ];
+const _: () = assert!(mask_of(&BLOCKED_AT_START) == shaletide_entry_point::BLOCKED_SIGNALS);
 
 /// Blocks these signals in the calling thread, and in those that it starts from now on.
 pub fn block(signals: &[Signal]) {
@@ -48,7 +49,7 @@
 /// Unblocks what the program has blocked, for commands that leave signals to the system: what the starter of the program has
 /// blocked stays so.
 pub fn restore_inherited() {
-    let is_inherited = |signal: &Signal| low_level::inherited_mask() & mask_bit(*signal) != 0;
+    let is_inherited = |signal: &Signal| shaletide_entry_point::inherited_mask() & mask_bit(*signal) != 0;
     let ours: Vec<Signal> = BLOCKED_AT_START.into_iter().filter(|signal| !is_inherited(signal)).collect();
     unblock(&ours);
 }
@@ -90,6 +91,17 @@
     1 << (signal as u32 - 1)
 }
 
+/// The mask of these signals as the kernel has it.
+const fn mask_of(signals: &[Signal]) -> u64 {
+    let mut mask = 0;
+    let mut index = 0;
+    while index < signals.len() {
+        mask |= mask_bit(signals[index]);
+        index += 1;
+    }
+    mask
+}
+
 fn set_of(signals: &[Signal]) -> SigSet {
     signals.iter().copied().collect()
 }
--- a/crates/soak/src/hangups.rs
+++ b/crates/soak/src/hangups.rs
@@ -76,7 +76,7 @@
 /// When the signal came that has ended a process.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum SignalMoment {
-    /// Before its first instruction: the kernel or the loader was still setting the process up.
+    /// Before its first instruction: the kernel was still executing it, or where the kernel starts the loader, that was at work.
     BeforeFirstInstruction,
     /// After it: a fault of the program.
     AfterFirstInstruction,
@@ -136,9 +136,9 @@
 /// When the signal came that has ended a process of this program, by the records of all that it got, in their order. The
 /// first one that finds a process which does not block it ends that process: what comes behind it finds it ended.
 ///
-/// Before the program's first instruction the kernel and the loader execute none of its code, and the loader some thousand
-/// instructions of libraries (resolvers of the C library's functions, and its early initialization). So it is not the file
-/// of the instruction that tells, but whether the process has come to any code of its program.
+/// Before the program's first instruction the kernel executes none of its code. A loader that the kernel starts executes some
+/// thousand instructions of libraries (resolvers of the C library's functions, and its early initialization). So it is not
+/// the file of the instruction that tells, but whether the process has come to any code of its program.
 pub fn moment_of_end(signals: &[SignalRecord], program: &Path) -> SignalMoment {
     let is_after = |record: &SignalRecord| match &record.finding {
         SignalFinding::Blocked => true,
--- a/crates/soak/src/hangups/first_instruction.rs
+++ b/crates/soak/src/hangups/first_instruction.rs
@@ -1,6 +1,7 @@
 //! Where the first instruction of a program is in the memory of its process (ELF, 64 bits, little-endian).
 //!
-//! The loader calls the functions in the program's `.preinit_array` before all other code of the program.
+//! The kernel starts a program that requests no loader (`PT_INTERP`) at its entry. Of one that does, the loader calls the
+//! functions in `.preinit_array` before all other code.
 
 use std::fs::File;
 use std::io;
@@ -9,14 +10,16 @@
 
 /// A number in memory, in bytes.
 const WORD_BYTES: usize = 8;
-/// Entries of the auxiliary vector: the end, and the program's headers in memory, their size and their number.
+/// Entries of the auxiliary vector: the end, the program's headers in memory, their size and their number, and its entry.
 const AUXILIARY_END: u64 = 0;
 const HEADERS: u64 = 3;
 const HEADER_BYTES: u64 = 4;
 const HEADER_COUNT: u64 = 5;
-/// Types of headers: of the headers themselves, and of the dynamic section.
+const PROGRAM_ENTRY: u64 = 9;
+/// Types of headers: of the headers themselves, of the dynamic section, and of the request for a loader.
 const HEADERS_TYPE: u32 = 6;
 const DYNAMIC_TYPE: u32 = 2;
+const LOADER_TYPE: u32 = 3;
 /// Offset in a header.
 const ADDRESS_AT: u64 = 0x10;
 /// Tags of the dynamic section: its end, and the address of `.preinit_array`.
@@ -25,15 +28,30 @@
 /// No dynamic section has more entries.
 const MAX_DYNAMIC_ENTRIES: u64 = 1000;
 
-/// The address of the first function in the `.preinit_array` of a process with this folder; `None` where the program has none,
-/// or where the process cannot be looked at.
+/// The address of the first instruction of the program that a process with this folder executes; `None` where that is not
+/// known, or where the process cannot be looked at.
 pub(super) fn of_process(folder: &Path) -> Option<u64> {
+    // As the kernel has made it: what the process writes to its own copy is not seen here.
     let vector = std::fs::read(folder.join("auxv")).ok()?;
     let memory = Memory(File::open(folder.join("mem")).ok()?);
-    let array = memory.preinit_array(&vector).ok()??;
+    let headers = memory.headers(&vector).ok()?;
+    if !headers.requests_loader {
+        return auxiliary(&vector, PROGRAM_ENTRY);
+    }
+    let array = memory.preinit_array(&headers).ok()??;
     memory.word(array).ok()
 }
 
+/// What a program's headers say.
+#[derive(Default)]
+struct Headers {
+    /// By how much the program was moved from the addresses in its file.
+    moved_by: Option<u64>,
+    /// Its dynamic section, as in the file.
+    dynamic: Option<u64>,
+    requests_loader: bool,
+}
+
 struct Memory(File);
 
 impl Memory {
@@ -43,19 +61,24 @@
         Ok(u64::from_le_bytes(word))
     }
 
-    fn preinit_array(&self, vector: &[u8]) -> io::Result<Option<u64>> {
-        let (mut moved_by, mut dynamic) = (None, None);
+    fn headers(&self, vector: &[u8]) -> io::Result<Headers> {
+        let mut headers = Headers::default();
         let entry = |key| auxiliary(vector, key).ok_or(io::ErrorKind::NotFound);
         for index in 0..entry(HEADER_COUNT)? {
             let header = entry(HEADERS)? + index * entry(HEADER_BYTES)?;
             let address = self.word(header + ADDRESS_AT)?;
             match self.word(header)? as u32 {
-                HEADERS_TYPE => moved_by = Some(entry(HEADERS)?.wrapping_sub(address)),
-                DYNAMIC_TYPE => dynamic = Some(address),
+                HEADERS_TYPE => headers.moved_by = Some(entry(HEADERS)?.wrapping_sub(address)),
+                DYNAMIC_TYPE => headers.dynamic = Some(address),
+                LOADER_TYPE => headers.requests_loader = true,
                 _ => {}
             }
         }
-        let (Some(moved_by), Some(dynamic)) = (moved_by, dynamic) else { return Ok(None) };
+        Ok(headers)
+    }
+
+    fn preinit_array(&self, headers: &Headers) -> io::Result<Option<u64>> {
+        let (Some(moved_by), Some(dynamic)) = (headers.moved_by, headers.dynamic) else { return Ok(None) };
         let array = self.dynamic_entry(dynamic.wrapping_add(moved_by), PREINIT_ARRAY)?;
         Ok(array.map(|array| array.wrapping_add(moved_by)))
     }
--- a/crates/soak/tests/early_hangup_by_mask.rs
+++ b/crates/soak/tests/early_hangup_by_mask.rs
@@ -46,8 +46,8 @@
     }
 }
 
-/// Guards against a SIGHUP that ends a process which has begun to run: with its first instruction it blocks the signal, and an
-/// end before that, by the mask that the signal finds, is the loader's or the kernel's.
+/// Guards against a SIGHUP that ends a process which has begun to run: with its first instructions it blocks the signal, and an
+/// end before that, by the mask that the signal finds, comes while the kernel executes it.
 #[test]
 fn hangup_right_after_the_start_ends_no_process_that_blocks_it() {
     let artifacts = Artifacts::find().expect("the program and the shim");
--- a/crates/soak/tests/signal_moments.rs
+++ b/crates/soak/tests/signal_moments.rs
@@ -2,8 +2,8 @@
 //! the process goes on. The order of events is forced, so that each row comes out the same each time.
 //!
 //! No program can hold a signal off before its first instruction: those rows say that SIGHUP ends it, unless whoever starts
-//! it has the signal blocked or ignored. From the system call on with which the program blocks SIGHUP, every row says that
-//! it serves by what the file held as the signal was sent.
+//! it has the signal blocked or ignored. From the system call on with which the program blocks SIGHUP, before the loader
+//! begins, every row says that it serves by what the file held as the signal was sent.
 #![cfg(all(target_os = "linux", target_arch = "x86_64"))]
 
 mod guards;
@@ -179,11 +179,11 @@
     check_stop(&Testbed::by_node_config(), &[SIGTERM]);
 }
 
-/// The control: a program that does nothing but block the signal by its first instruction has the same boundary. Guards
-/// against a boundary that the program under test has made worse.
+/// The control: a program without libraries that does nothing but block the signal by its first instruction has the same
+/// boundary. Guards against a boundary that the program under test has made worse.
 #[test]
 fn control_program_has_the_same_boundary() {
-    let control = Compiled::of("control_program.c", &[]);
+    let control = Compiled::of("first_instruction_program.c", &["-static", "-nostdlib"]);
     let testbed = Testbed::of_program(control.path());
     for moment in Moment::ALL.into_iter().filter(|moment| *moment <= Moment::Masked) {
         let (outcome, _) = play(&testbed, Inherited::Nothing, moment, &[SIGHUP, SIGTERM], Expected::End);
--- a/crates/soak/tests/signal_moments/hangup_records.rs
+++ b/crates/soak/tests/signal_moments/hangup_records.rs
@@ -43,7 +43,7 @@
 fn expected(moment: Moment) -> SignalMoment {
     match moment {
         Moment::ExecCall => SignalMoment::NotShown, // of another program
-        _ if moment <= Moment::PreinitFunction => SignalMoment::BeforeFirstInstruction,
+        Moment::ExecEnd => SignalMoment::BeforeFirstInstruction,
         _ => SignalMoment::AfterFirstInstruction,
     }
 }
@@ -201,10 +201,11 @@
     }
 }
 
-/// Guards against an end before the program's first instruction that the records do not show: the loader calls functions of
-/// the C library that choose others by the processor.
+/// Guards against an end before the program's first instruction that the records do not show: where the kernel starts the
+/// loader, that calls functions of the C library that choose others by the processor.
 #[test]
 fn record_of_hangup_in_resolver_of_c_library_shows_that_program_has_not_begun() {
+    let control = Compiled::of("control_program.c", &[]);
     for inherited in [Inherited::Nothing, Inherited::Shim] {
         let look = |tracee: &mut Tracee, paths: &Paths, earlier_execs| {
             moment::reach_relocations(tracee, earlier_execs)?;
@@ -217,15 +218,18 @@
             walk.print(&format!("{inherited:?}, resolver"));
             Ok(())
         };
-        Testbed::new().inspect(inherited, look).unwrap();
+        Testbed::of_program(control.path()).inspect(inherited, look).unwrap();
     }
 }
 
-/// Executes a program from its first instruction to the mask; SIGHUP finds it at each one. At so many of them it is in code of
-/// a file with that name.
-fn found_from_first_instruction_to_mask(testbed: &Testbed, name_begin: &str) -> usize {
+/// Executes a program from its first instruction, to which `reach_first` brings it, to the mask; SIGHUP finds it at each one.
+/// At so many of them, without the first, it is in code of a file with that name.
+fn found_from_first_instruction_to_mask(
+    testbed: &Testbed, name_begin: &str,
+    reach_first: impl FnOnce(&mut Tracee, &Paths, usize) -> Result<(), TraceError>,
+) -> usize {
     let look = |tracee: &mut Tracee, paths: &Paths, earlier_execs| {
-        Moment::PreinitFunction.reach(tracee, paths, earlier_execs)?;
+        reach_first(tracee, paths, earlier_execs)?;
         let mut walk = Walk::new(tracee, paths.program);
         walk.run_to_mask(|_, _| true)?;
         walk.print("first instruction to mask");
@@ -234,12 +238,25 @@
     testbed.inspect(Inherited::Nothing, look).unwrap()
 }
 
-/// Guards against code that is executed before the mask and lies elsewhere than the program's first instruction: each further
-/// page may have to come from a disk first, and a SIGHUP that comes meanwhile ends the process.
+/// Brings a program that the kernel starts to its first instruction.
+fn reach_entry(tracee: &mut Tracee, paths: &Paths, earlier_execs: usize) -> Result<(), TraceError> {
+    Moment::ExecEnd.reach(tracee, paths, earlier_execs)?;
+    moment::reach_first_instruction(tracee)
+}
+
+/// Brings a program that the loader starts to its first instruction.
+fn reach_preinit_function(
+    tracee: &mut Tracee, paths: &Paths, earlier_execs: usize,
+) -> Result<(), TraceError> {
+    Moment::PreinitFunction.reach(tracee, paths, earlier_execs)
+}
+
+/// Guards against a program whose start leaves time to SIGHUP before the mask: the loader's work, or code that lies elsewhere
+/// than the first instruction. Each further page may have to come from a disk first.
 #[test]
 fn program_executes_one_small_function_before_the_mask() {
     let look = |tracee: &mut Tracee, paths: &Paths, earlier_execs| {
-        Moment::PreinitFunction.reach(tracee, paths, earlier_execs)?;
+        reach_entry(tracee, paths, earlier_execs)?;
         let first = tracee.instruction()?;
         let function = first..first + SMALL_FUNCTION;
         let mut executed = 0;
@@ -249,7 +266,7 @@
             executed += 1;
             tracee.step()?;
         }
-        println!("{executed} instructions up to the mask");
+        println!("{executed} instructions from exec to the mask");
         Ok(())
     };
     Testbed::new().inspect(Inherited::Nothing, look).unwrap();
@@ -260,7 +277,7 @@
 fn record_of_hangup_before_mask_shows_that_program_has_begun() {
     let testbed = Testbed::new();
     let name = testbed.program().file_name().unwrap().to_string_lossy().into_owned();
-    assert!(found_from_first_instruction_to_mask(&testbed, &name) > 0);
+    assert!(found_from_first_instruction_to_mask(&testbed, &name, reach_entry) > 0);
 }
 
 /// The same in code of the C library, in the call that sets the mask.
@@ -268,7 +285,7 @@
 fn record_of_hangup_in_call_of_mask_shows_that_program_has_begun() {
     let control = Compiled::of("control_program.c", &["-Wl,-z,now"]);
     let testbed = Testbed::of_program(control.path());
-    assert!(found_from_first_instruction_to_mask(&testbed, C_LIBRARY) > 0);
+    assert!(found_from_first_instruction_to_mask(&testbed, C_LIBRARY, reach_preinit_function) > 0);
 }
 
 /// Guards against an end that is put down to the loader though the program had begun: where functions are bound as they are
@@ -277,24 +294,24 @@
 fn record_of_hangup_in_loader_shows_that_program_has_begun_which_called_it() {
     let control = Compiled::of("control_program.c", &["-fplt", "-Wl,-z,lazy"]);
     let testbed = Testbed::of_program(control.path());
-    assert!(found_from_first_instruction_to_mask(&testbed, LOADER) > 0);
+    assert!(found_from_first_instruction_to_mask(&testbed, LOADER, reach_preinit_function) > 0);
 }
 
-/// The long form: from exec to the mask. Guards against an instruction of a library, called by the loader or by the program, at
-/// which the records show another moment than the one at which the signal comes.
+/// The long form: from exec to the mask of a program that the loader starts. Guards against an instruction of a library, called
+/// by the loader or by the program, at which the records show another moment than the one at which the signal comes.
 #[test]
 #[ignore = "executes half a million instructions one by one: half a minute"]
 fn record_of_hangup_shows_at_each_instruction_whether_program_has_begun() {
+    let control = Compiled::of("control_program.c", &[]);
     let is_wanted = |file: &Path, number: usize| !is_file(file, LOADER) || number % LOADER_INTERVAL == 1;
     for inherited in [Inherited::Nothing, Inherited::Shim] {
         let look = |tracee: &mut Tracee, paths: &Paths, earlier_execs| {
-            Moment::ExecEnd.reach(tracee, paths, earlier_execs)?;
-            tracee.step()?; // the rest of the system call
+            reach_entry(tracee, paths, earlier_execs)?;
             let mut walk = Walk::new(tracee, paths.program);
             walk.run_to_mask(is_wanted)?;
             walk.print(&format!("{inherited:?}"));
             Ok(())
         };
-        Testbed::new().inspect(inherited, look).unwrap();
+        Testbed::of_program(control.path()).inspect(inherited, look).unwrap();
     }
 }
--- a/crates/soak/tests/signal_moments/moment.rs
+++ b/crates/soak/tests/signal_moments/moment.rs
@@ -12,9 +12,17 @@
 pub enum Moment {
     /// The starter calls the kernel to execute the program.
     ExecCall,
-    /// The kernel has replaced the program: before the loader's first instruction.
+    /// The kernel has replaced the program: before the first instruction of the new one.
     ExecEnd,
-    /// After the loader's first instruction.
+    /// After the program's first instruction.
+    ProgramBegins,
+    /// Before the instruction that calls the kernel to block SIGHUP.
+    BeforeMask,
+    /// In that system call, before the kernel acts.
+    MaskCall,
+    /// In that system call, after it.
+    Masked,
+    /// Before the first instruction of the loader, which the program has mapped.
     LoaderBegins,
     /// The loader's first system call, after it has relocated itself.
     LoaderCall,
@@ -22,12 +30,6 @@
     Relocated,
     /// Before the first instruction of the function in `.preinit_array`.
     PreinitFunction,
-    /// Before the instruction that calls the kernel to block SIGHUP.
-    BeforeMask,
-    /// In that system call, before the kernel acts.
-    MaskCall,
-    /// In that system call, after it.
-    Masked,
     /// The Rust runtime's first system call, before `main`.
     Runtime,
     /// The start of the log's thread.
@@ -52,16 +54,17 @@
 
 impl Moment {
     /// All of them.
-    pub const ALL: [Moment; 19] = [
+    pub const ALL: [Moment; 20] = [
         Moment::ExecCall,
         Moment::ExecEnd,
+        Moment::ProgramBegins,
+        Moment::BeforeMask,
+        Moment::MaskCall,
+        Moment::Masked,
         Moment::LoaderBegins,
         Moment::LoaderCall,
         Moment::Relocated,
         Moment::PreinitFunction,
-        Moment::BeforeMask,
-        Moment::MaskCall,
-        Moment::Masked,
         Moment::Runtime,
         Moment::LogThread,
         Moment::LogThreadStarted,
@@ -91,12 +94,10 @@
         tracee.run_until(|_, stop| matches!(stop, Stop::Exec))?;
         match self {
             Moment::ExecCall | Moment::ExecEnd => Ok(()),
-            Moment::LoaderBegins => self.reach_loader(tracee),
-            Moment::LoaderCall => tracee.run_until(|_, stop| matches!(stop, Stop::Entry(_))).map(drop),
-            Moment::Relocated | Moment::PreinitFunction | Moment::BeforeMask => {
-                self.reach_in_preinit(tracee, paths)
-            }
+            Moment::ProgramBegins | Moment::BeforeMask => self.reach_before_mask(tracee),
             Moment::MaskCall | Moment::Masked => self.reach_mask(tracee),
+            Moment::LoaderBegins | Moment::LoaderCall => self.reach_loader(tracee, paths),
+            Moment::Relocated | Moment::PreinitFunction => self.reach_in_preinit(tracee, paths),
             Moment::Runtime => tracee.run_until(|_, stop| is_entry(stop, libc::SYS_poll)).map(drop),
             Moment::LogThread | Moment::LogThreadStarted => self.reach_log_thread(tracee, paths.log_thread),
             Moment::ConfigurationOpen | Moment::ConfigurationOpened => {
@@ -106,26 +107,37 @@
         }
     }
 
-    fn reach_loader(self, tracee: &mut Tracee) -> Result<(), TraceError> {
-        tracee.step()?; // the rest of the system call
+    fn reach_before_mask(self, tracee: &mut Tracee) -> Result<(), TraceError> {
+        reach_first_instruction(tracee)?;
+        if self == Moment::BeforeMask {
+            return tracee.step_to_call(libc::SYS_rt_sigprocmask).map(drop);
+        }
         let first = tracee.instruction()?;
         tracee.step()?;
         match tracee.instruction()? == first {
-            true => Err(TraceError::NotReached("the loader's second instruction")),
+            true => Err(TraceError::NotReached("the program's second instruction")),
             false => Ok(()),
         }
     }
 
-    /// The loader asks for the limit of the stack between its relocations and the program's first instruction.
+    /// The program closes the loader's file once it has mapped it, and goes on in it some instructions later.
+    fn reach_loader(self, tracee: &mut Tracee, paths: &Paths) -> Result<(), TraceError> {
+        tracee.run_until(
+            |_, stop| matches!(stop, Stop::Exit(call) if call.number == libc::SYS_close && call.result == 0),
+        )?;
+        match self {
+            Moment::LoaderBegins => tracee.step_out_of(paths.program),
+            _ => tracee.run_until(|_, stop| matches!(stop, Stop::Entry(_))).map(drop),
+        }
+    }
+
+    /// The loader asks for the limit of the stack between its relocations and `.preinit_array`.
     fn reach_in_preinit(self, tracee: &mut Tracee, paths: &Paths) -> Result<(), TraceError> {
         tracee.run_until(|_, stop| is_entry(stop, libc::SYS_prlimit64))?;
-        if self > Moment::Relocated {
-            tracee.run_to_preinit_function(paths.program)?;
-        }
-        if self > Moment::PreinitFunction {
-            tracee.step_to_call(libc::SYS_rt_sigprocmask)?;
+        match self {
+            Moment::Relocated => Ok(()),
+            _ => tracee.run_to_preinit_function(paths.program),
         }
-        Ok(())
     }
 
     fn reach_mask(self, tracee: &mut Tracee) -> Result<(), TraceError> {
@@ -200,6 +212,11 @@
     }
 }
 
+/// Brings a process from the end of exec to the first instruction that it executes.
+pub fn reach_first_instruction(tracee: &mut Tracee) -> Result<(), TraceError> {
+    tracee.step() // the rest of the system call
+}
+
 /// Brings a process to the loader's last system call before it relocates the libraries.
 pub fn reach_relocations(tracee: &mut Tracee, earlier_execs: usize) -> Result<(), TraceError> {
     for _ in 0..=earlier_execs {
--- a/crates/soak/tests/signal_moments/tracer.rs
+++ b/crates/soak/tests/signal_moments/tracer.rs
@@ -8,6 +8,7 @@
 use nix::unistd::Pid;
 use std::fs::File;
 use std::io;
+use std::ops::Range;
 use std::os::unix::fs::FileExt;
 use std::path::Path;
 use std::time::{Duration, Instant};
@@ -236,6 +237,19 @@
         Err(TraceError::NotReached("a system call, instruction by instruction"))
     }
 
+    /// Executes single instructions until the next one is not in code of this file.
+    pub fn step_out_of(&mut self, file: &Path) -> Result<(), TraceError> {
+        let code = code_of(self.pid, file)?;
+        for _ in 0..MAX_STEPS {
+            let address = self.instruction()?;
+            if !code.iter().any(|range| range.contains(&address)) {
+                return Ok(());
+            }
+            self.step()?;
+        }
+        Err(TraceError::NotReached("code of another file"))
+    }
+
     /// The address of its next instruction.
     pub fn instruction(&self) -> Result<u64, TraceError> {
         Ok(ptrace::getregs(self.pid)?.rip)
@@ -265,3 +279,16 @@
         Ok(ptrace::detach(self.pid, None)?)
     }
 }
+
+/// Where a process has mapped the code of this file.
+fn code_of(pid: Pid, file: &Path) -> io::Result<Vec<Range<u64>>> {
+    let maps = std::fs::read_to_string(format!("/proc/{pid}/maps"))?;
+    let range_of = |line: &str| {
+        let fields: Vec<&str> = line.split_whitespace().collect();
+        let (from, to) = fields[0].split_once('-')?;
+        let range = u64::from_str_radix(from, 16).ok()?..u64::from_str_radix(to, 16).ok()?;
+        let is_code = fields[1].contains('x') && fields.get(5).map(Path::new) == Some(file);
+        is_code.then_some(range)
+    };
+    Ok(maps.lines().filter_map(range_of).collect())
+}
--- a/crates/soak/tests/start_window.rs
+++ b/crates/soak/tests/start_window.rs
@@ -1,7 +1,7 @@
 //! A measurement that anyone can repeat: how many processes SIGHUP ends, by the moment at which it comes after their start.
 //!
-//! The program blocks SIGHUP by its first instruction. What the kernel and the loader do before that is the window in which
-//! the signal ends the process; where whoever starts the program blocks the signal first, there is none.
+//! The program blocks SIGHUP by its first instructions. The kernel's work before them is the window in which the signal ends
+//! the process; where whoever starts the program blocks the signal first, there is none.
 //!
 //! `cargo test --locked --release -p shaletide-soak --test start_window -- --ignored --nocapture --test-threads=1`
 
