--- a/crates/shaletide/tests/crash_windows.rs
+++ b/crates/shaletide/tests/crash_windows.rs
@@ -383,6 +383,15 @@
     count
 }
 
+/// Stops the load as it is dropped, also by a panic: the scope waits for the load's threads before it passes that on.
+struct StopOnDrop<'a>(&'a AtomicBool);
+
+impl Drop for StopOnDrop<'_> {
+    fn drop(&mut self) {
+        self.0.store(true, Ordering::SeqCst);
+    }
+}
+
 fn killed_in_each_window(name: &str, each: u64, long: u64) {
     let site = TestSite::new(name);
     let numbers = AtomicU64::new(0);
@@ -401,8 +410,9 @@
                 if round < long && at == 0 {
                     std::thread::sleep(Duration::from_millis(2_500));
                 }
+                let load = StopOnDrop(&stop);
                 site.kill_in(window, &key, &mut proxy);
-                stop.store(true, Ordering::SeqCst);
+                drop(load);
                 clients.into_iter().map(|c| c.join().unwrap()).collect()
             });
             for each in found {
