Review: draining boxes get requests when discovery moves over a silent watch

Two proxies; the open watches fall silent, a quarter of the boxes drains, which the agent has, and 0.3 s later SIGHUP names a discovery that is down for 4 s.

The cause read from the code: a move drops the silent call and its bound, and the old list holds until 5.5 s after the signal.

--- a/review/rig/mod.rs
+++ b/review/rig/mod.rs
@@ -218,6 +218,8 @@
     index: u64,
     endpoints: Vec<Endpoint>,
     silent: bool,
+    /// Calls that came in an earlier era are never answered.
+    era: u64,
 }
 
 /// The agent of a discovery that pushes. It answers each call at once or, if it is a watch, as soon as there is something
@@ -230,7 +232,7 @@
 
 impl Agent {
     pub fn start(index: u64, endpoints: Vec<Endpoint>, record: Record) -> Agent {
-        let state = Arc::new((Mutex::new(AgentState { index, endpoints, silent: false }), Condvar::new()));
+        let state = Arc::new((Mutex::new(AgentState { index, endpoints, silent: false, era: 0 }), Condvar::new()));
         let shared = state.clone();
         let address = serve(Duration::from_secs(300), move |request, connection| {
             let (lock, changed) = &*shared;
@@ -247,11 +249,13 @@
                 thread::sleep(Duration::from_secs(300));
                 return false;
             }
-            while number("after") == Some(state.index) && Instant::now() < until && !state.silent {
+            let era = state.era;
+            while number("after") == Some(state.index) && Instant::now() < until && !state.silent && state.era == era {
                 state = changed.wait_timeout(state, until - Instant::now()).unwrap().0;
             }
-            if state.silent {
+            if state.silent || state.era != era {
                 drop(state);
+                record.add(format!("agent: {} falls silent", request.path));
                 thread::sleep(Duration::from_secs(300));
                 return false;
             }
@@ -274,6 +278,13 @@
         state.index
     }
 
+    /// Lets the open watches fall silent. New calls are answered.
+    pub fn silence_watches(&self) {
+        self.state.0.lock().unwrap().era += 1;
+        self.state.1.notify_all();
+    }
+
+    /// While it is silent no call is answered, not even later.
     pub fn set_silent(&self, silent: bool) {
         self.state.0.lock().unwrap().silent = silent;
         self.state.1.notify_all();
