--- a/review/2/case.rs
+++ b/review/2/case.rs
@@ -61,6 +61,7 @@
                 while Instant::now() < until {
                     thread::sleep(rng.pause(0.15));
                     let ask = draw(&mut rng);
+                    record.add(format!("client {number}: asks {} {}", ask.class, ask.id));
                     let result = match client.ask(&ask) {
                         Ok(answer) => answer.status.to_string(),
                         Err(error) => error.to_string(),
--- a/review/3/case.rs
+++ b/review/3/case.rs
@@ -71,6 +71,7 @@
                 while Instant::now() < until {
                     thread::sleep(rng.pause(0.15));
                     let ask = draw(&mut rng);
+                    record.add(format!("client {number}: asks {} {}", ask.class, ask.id));
                     let (status, body) = match client.ask(&ask) {
                         Ok(answer) => (answer.status, String::from_utf8_lossy(&answer.body).trim().to_string()),
                         Err(error) => (0, error.to_string()),
