Fetch from the previous discovery what a silent call missed before a move

Cause: the move dropped the call that was out, which was silent, and with it the bound within which a silent call is asked again. The log now says at a move when the list was last confirmed.

Change: after a move the previous discovery is called without a wait until it answers, the new one has sent a list, or the old list expires. A subscription whose settings change goes on, so that it knows of the move. This works as that call is new, and what the old discovery had at the signal is all that it owes.

Why no check found it: the soak's oracle excused each change within 4 s of a move and moves of earlier processes.

--- a/crates/discovery/src/lib.rs
+++ b/crates/discovery/src/lib.rs
@@ -4,8 +4,10 @@
 
 mod call;
 mod poll_schedule;
+mod previous;
 mod subscription;
 
+use previous::{fetch_missed_changes, PreviousDiscovery};
 use shaletide_balancer::{DiscoveryMode, EndpointUpdate, PoolId};
 use shaletide_membership::List;
 use shaletide_net::{timeout, Driver};
@@ -15,7 +17,7 @@
 use std::time::{Duration, Instant};
 use subscription::Subscription;
 use tokio::sync::watch::Receiver;
-use tracing::warn;
+use tracing::{info, warn};
 
 /// The time after a move from which on the lists of the new discovery count as known (see
 /// [`SubscriptionConfig::expires_unconfirmed_list`]).
@@ -37,51 +39,128 @@
     pub expires_unconfirmed_list: bool,
 }
 
-/// The address of discovery, and the time from which it applies: the start of the program, or the signal that changed the
-/// address (a move).
+impl SubscriptionConfig {
+    /// The time after which an unconfirmed list expires. The rest of the grace is left for the first response.
+    fn expiry_delay(&self) -> Duration {
+        self.grace * 3 / 4
+    }
+}
+
+/// The discovery that a pool subscribes to, and the time from which it applies: the start of the program, or the signal that
+/// changed the address (a move).
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct DiscoveryAddress {
+pub struct SubscriptionTarget {
     /// The address on which discovery listens.
     pub address: SocketAddr,
     /// The time from which on, or soon after which, the lists of this discovery count as known.
     pub since: Instant,
+    /// The settings of the subscription.
+    pub config: SubscriptionConfig,
+}
+
+/// What the current discovery has sent so far.
+#[derive(Debug, Default)]
+struct ListState {
+    /// The version of its last list; `None` until it has sent one.
+    version: Cell<Option<u64>>,
+    /// When it last answered a call with a list.
+    confirmed_at: Cell<Option<Instant>>,
+    /// Whether the earlier list has expired and no list was received since.
+    has_expired: Cell<bool>,
+}
+
+impl ListState {
+    fn has_list(&self) -> bool {
+        self.version.get().is_some()
+    }
+
+    fn set_received(&self, version: u64) {
+        self.version.set(Some(version));
+        self.confirmed_at.set(Some(Instant::now()));
+        self.has_expired.set(false);
+    }
 }
 
 /// Keeps a pool's list up to date for the lifetime of the process. `known_version` is the version of the list that the pool
 /// already has. When discovery moves, the call in flight is dropped at once, as a long poll may take a long time. A version
-/// has no meaning for another discovery, so that the new subscription begins with a snapshot.
+/// has no meaning for another discovery, so that the new subscription begins with a snapshot. What the dropped call would
+/// have returned counts as known all the same: it is fetched from the previous discovery, until the new one has sent its
+/// first list (see [`previous`]).
 ///
 /// Never returns. If the future is dropped, the pool keeps its current list.
 pub async fn run_subscription(
-    driver: Rc<Driver>, pool: PoolId, mut moves: Receiver<DiscoveryAddress>, known_version: Option<u64>,
-    config: SubscriptionConfig,
+    driver: Rc<Driver>, pool: PoolId, mut targets: Receiver<SubscriptionTarget>, known_version: Option<u64>,
 ) {
+    let mut target = *targets.borrow_and_update();
     // The responses of an agent are cheap, so that the subscription begins with a snapshot.
-    let mut known_version = known_version.filter(|_| config.mode != DiscoveryMode::Push);
-    let has_list = Cell::new(false);
-    // The rest of the grace is left for the first response.
-    let expiry_delay = config.grace * 3 / 4;
-    let mut expires_at = moves.borrow().since + expiry_delay;
+    let mut known_version = known_version.filter(|_| target.config.mode != DiscoveryMode::Push);
+    let state = ListState::default();
+    let mut expires_at = target.since + target.config.expiry_delay();
+    let mut previous: Option<PreviousDiscovery> = None;
     loop {
-        let address = moves.borrow_and_update().address;
-        let subscription = Subscription::new(&driver, pool, address, known_version, config, &has_list);
-        let expiry = expire_unconfirmed(&driver, pool, expires_at, config, &has_list);
+        let subscription = Subscription::new(&driver, pool, target, known_version, &state);
+        let expiry = expire_unconfirmed(&driver, pool, expires_at, target.config, &state);
+        let missed_changes = fetch_missed_changes(&driver, pool, previous.as_ref(), &state);
         tokio::select! {
-            _ = async { tokio::join!(subscription.run(), expiry) } => {}
-            Ok(()) = moves.changed() => {
-                let expires_after_move = moves.borrow().since + MOVE_ALLOWANCE + expiry_delay;
-                expires_at =
-                    if has_list.replace(false) { expires_after_move } else { expires_at.min(expires_after_move) };
+            _ = async { tokio::join!(subscription.run(), expiry, missed_changes) } => {}
+            Ok(()) = targets.changed() => {
+                let next = *targets.borrow_and_update();
+                if next.address != target.address {
+                    log_move(&driver, pool, target.address, next.address, &state);
+                    previous = previous_after_move(previous, target, next, &state, known_version);
+                    let expires_after_move = next.since + MOVE_ALLOWANCE + next.config.expiry_delay();
+                    expires_at = match state.has_list() {
+                        true => expires_after_move,
+                        false => expires_at.min(expires_after_move),
+                    };
+                    state.version.set(None);
+                }
+                // With other settings, too, a call without a wait replaces the one that was dropped.
                 known_version = None;
+                target = next;
             }
         }
     }
 }
 
+/// Returns the discovery from which changes may have been missed, after a move from `current` to `next`. That is the last one
+/// that has sent a list, as the pool has its list, or the one of the start.
+fn previous_after_move(
+    previous: Option<PreviousDiscovery>, current: SubscriptionTarget, next: SubscriptionTarget,
+    state: &ListState, known_version: Option<u64>,
+) -> Option<PreviousDiscovery> {
+    let fetch_until = next.since + MOVE_ALLOWANCE + next.config.expiry_delay();
+    let unanswered = previous.filter(|previous| !previous.has_answered.get() && !state.has_list());
+    let previous = match unanswered {
+        Some(previous) => PreviousDiscovery { fetch_until, ..previous },
+        None => PreviousDiscovery {
+            address: current.address,
+            config: current.config,
+            version: state.version.get().or(known_version),
+            fetch_until,
+            has_answered: Cell::new(false),
+        },
+    };
+    // The subscription itself calls a discovery that is the current one again.
+    Some(previous).filter(|previous| previous.address != next.address)
+}
+
+/// Logs a move, with what tells whether changes of the earlier discovery may have been missed.
+fn log_move(driver: &Driver, pool: PoolId, from: SocketAddr, to: SocketAddr, state: &ListState) {
+    let name = driver.pool_name(pool);
+    match (state.version.get(), state.confirmed_at.get()) {
+        (Some(version), Some(confirmed_at)) => info!(
+            "pool {name}: discovery moves from {from} to {to}; list version {version} of {from} was confirmed {} ms ago",
+            confirmed_at.elapsed().as_millis()
+        ),
+        _ => info!("pool {name}: discovery moves from {from} to {to}; {from} has sent no list"),
+    }
+}
+
 /// Removes all backends at time `at`, unless discovery has sent a list by then: they may have been draining in discovery for
 /// the whole grace. The first list from discovery adds those that are ready again.
 async fn expire_unconfirmed(
-    driver: &Rc<Driver>, pool: PoolId, at: Instant, config: SubscriptionConfig, has_list: &Cell<bool>,
+    driver: &Rc<Driver>, pool: PoolId, at: Instant, config: SubscriptionConfig, state: &ListState,
 ) {
     if !config.expires_unconfirmed_list || config.mode != DiscoveryMode::Push {
         return;
@@ -90,11 +169,12 @@
     if Instant::now() < at {
         timeout::sleep_until(at.into()).await;
     }
-    if !has_list.get() {
+    if !state.has_list() {
         warn!(
             "pool {}: discovery sent no list in time; removing all backends of the earlier list",
             driver.pool_name(pool)
         );
+        state.has_expired.set(true);
         driver.update_endpoints(pool, EndpointUpdate::Snapshot, Vec::new());
     }
 }
--- a/crates/discovery/src/poll_schedule.rs
+++ b/crates/discovery/src/poll_schedule.rs
@@ -1,5 +1,7 @@
 //! The intervals and timeouts of calls to discovery, chosen so that the proxy receives a change in time.
 
+use crate::SubscriptionConfig;
+use shaletide_balancer::DiscoveryMode;
 use std::time::{Duration, Instant};
 
 /// The time limit for a response's body after a failed call, even if its pieces arrive steadily.
@@ -57,6 +59,14 @@
 }
 
 impl PollSchedule {
+    /// Returns the schedule of a subscription with these settings.
+    pub(crate) fn of(config: SubscriptionConfig) -> PollSchedule {
+        match config.mode {
+            DiscoveryMode::Push => PollSchedule::pushing(config.grace),
+            _ => PollSchedule::polling(config.grace),
+        }
+    }
+
     /// Returns the schedule for a discovery that all proxies poll. Calls are expensive for it, and it processes them one
     /// after the other. A subscription that has become silent is reopened before the changes that it missed count as known,
     /// which is 2 s and the grace after the end of its wait. Subscriptions become silent at the same time, and calls made at
--- a/crates/discovery/src/subscription.rs
+++ b/crates/discovery/src/subscription.rs
@@ -2,11 +2,10 @@
 
 use crate::call::{fetch, CallTimeouts, Connection, PollError};
 use crate::poll_schedule::PollSchedule;
-use crate::{apply_list, SubscriptionConfig};
+use crate::{apply_list, ListState, SubscriptionConfig, SubscriptionTarget};
 use shaletide_balancer::{DiscoveryMode, EndpointUpdate, PoolId};
 use shaletide_membership::List;
 use shaletide_net::Driver;
-use std::cell::Cell;
 use std::future::{poll_fn, Future};
 use std::net::SocketAddr;
 use std::pin::pin;
@@ -31,8 +30,8 @@
     address: SocketAddr,
     config: SubscriptionConfig,
     schedule: PollSchedule,
-    /// Set to true once discovery has sent a list.
-    has_list: &'a Cell<bool>,
+    /// What discovery has sent.
+    state: &'a ListState,
     connection: Option<Connection>,
     /// The version of the pool's current list.
     version: u64,
@@ -51,21 +50,18 @@
     /// Returns a subscription that begins with `known_version`, the version of the pool's current list, or with a snapshot if
     /// that is `None`.
     pub(crate) fn new(
-        driver: &'a Rc<Driver>, pool: PoolId, address: SocketAddr, known_version: Option<u64>,
-        config: SubscriptionConfig, has_list: &'a Cell<bool>,
+        driver: &'a Rc<Driver>, pool: PoolId, target: SubscriptionTarget, known_version: Option<u64>,
+        state: &'a ListState,
     ) -> Subscription<'a> {
+        let SubscriptionTarget { address, config, .. } = target;
         let is_polled = config.mode != DiscoveryMode::Push;
-        let schedule = match is_polled {
-            true => PollSchedule::polling(config.grace),
-            false => PollSchedule::pushing(config.grace),
-        };
         Subscription {
             driver,
             pool,
             address,
             config,
-            schedule,
-            has_list,
+            schedule: PollSchedule::of(config),
+            state,
             connection: None,
             version: known_version.unwrap_or(0),
             wants_snapshot: known_version.is_none(),
@@ -98,10 +94,7 @@
             true => Duration::ZERO,
             false => self.schedule.long_poll_wait(self.config.position, self.long_polls),
         };
-        let uri = match self.wants_snapshot {
-            true => "/api/targets".to_string(),
-            false => format!("/api/targets?after={}&wait_ms={}", self.version, wait.as_millis()),
-        };
+        let uri = targets_uri(Some(self.version).filter(|_| !self.wants_snapshot), wait);
         let is_long_poll = !self.wants_snapshot && !self.is_catching_up;
         if is_long_poll {
             self.long_polls = self.long_polls.wrapping_add(1);
@@ -133,7 +126,7 @@
         if !is_older {
             let update = if list.snapshot { EndpointUpdate::Snapshot } else { EndpointUpdate::Delta };
             apply_list(self.driver, self.pool, update, list);
-            self.has_list.set(true);
+            self.state.set_received(list.index);
             self.version = list.index;
         }
         self.wants_snapshot = is_older;
@@ -170,8 +163,16 @@
     }
 }
 
+/// Returns the URI of a call for the changes after `version`, which waits for changes up to `wait`, or for a snapshot.
+pub(crate) fn targets_uri(version: Option<u64>, wait: Duration) -> String {
+    match version {
+        Some(version) => format!("/api/targets?after={version}&wait_ms={}", wait.as_millis()),
+        None => "/api/targets".to_string(),
+    }
+}
+
 /// Returns an error if a call for a snapshot returned a delta.
-fn require_snapshot(list: List, wants_snapshot: bool) -> Result<List, PollError> {
+pub(crate) fn require_snapshot(list: List, wants_snapshot: bool) -> Result<List, PollError> {
     if wants_snapshot && !list.snapshot {
         return Err(PollError::NotASnapshot);
     }
--- a/crates/shaletide/src/subscriptions.rs
+++ b/crates/shaletide/src/subscriptions.rs
@@ -2,7 +2,7 @@
 
 use crate::setup::Setup;
 use shaletide_balancer::PoolId;
-use shaletide_discovery::{DiscoveryAddress, SubscriptionConfig};
+use shaletide_discovery::{SubscriptionConfig, SubscriptionTarget};
 use shaletide_net::Driver;
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -10,12 +10,10 @@
 use std::time::{Duration, Instant};
 use tokio::sync::watch;
 use tokio::task::AbortHandle;
-use tracing::info;
 
 /// Keeps one pool's list up to date until it is dropped.
 struct Subscription {
-    discovery: watch::Sender<DiscoveryAddress>,
-    config: SubscriptionConfig,
+    target: watch::Sender<SubscriptionTarget>,
     task: AbortHandle,
 }
 
@@ -43,16 +41,18 @@
         Subscriptions { driver, by_pool: HashMap::new() }
     }
 
-    /// Subscribes to the discoveries that the setup names, and ends all other subscriptions. `ids` are the pools' numbers in
-    /// their order; a discovery at a new address counts as available since `since`. To be called within a `LocalSet`.
+    /// Subscribes to the discoveries that the setup names, and ends the subscriptions of pools that have none any more. `ids`
+    /// are the pools' numbers in their order; a discovery at a new address counts as available since `since`. To be called
+    /// within a `LocalSet`.
+    ///
+    /// A subscription whose settings or address change goes on: a new one would not know which changes the earlier one may
+    /// have missed.
     pub fn update(&mut self, setup: &Setup, ids: &[PoolId], since: Instant) {
         let required = required(setup, ids);
-        self.by_pool.retain(|pool, subscription| {
-            required.iter().any(|required| required.pool == *pool && required.config == subscription.config)
-        });
+        self.by_pool.retain(|pool, _| required.iter().any(|required| required.pool == *pool));
         for required in required {
             match self.by_pool.get(&required.pool) {
-                Some(subscription) => subscription.move_to(&self.driver, required, since),
+                Some(subscription) => subscription.change_target(required, since),
                 None => self.subscribe(setup, ids, required, since),
             }
         }
@@ -60,31 +60,27 @@
 
     fn subscribe(&mut self, setup: &Setup, ids: &[PoolId], required: RequiredSubscription, since: Instant) {
         let RequiredSubscription { pool, address, config } = required;
-        let (discovery, moves) = watch::channel(DiscoveryAddress { address, since });
+        let (target, targets) = watch::channel(SubscriptionTarget { address, since, config });
         // An index is only valid at the discovery that the cached list came from.
         let has_cached_list = ids.first() == Some(&pool) && !setup.cached_list.endpoints.is_empty();
         let known_index = has_cached_list.then_some(setup.cached_list.index);
-        let watch =
-            shaletide_discovery::run_subscription(self.driver.clone(), pool, moves, known_index, config);
-        let task = tokio::task::spawn_local(watch).abort_handle();
-        self.by_pool.insert(pool, Subscription { discovery, config, task });
+        let run = shaletide_discovery::run_subscription(self.driver.clone(), pool, targets, known_index);
+        let task = tokio::task::spawn_local(run).abort_handle();
+        self.by_pool.insert(pool, Subscription { target, task });
     }
 }
 
 impl Subscription {
-    /// Switches to the discovery's new address, if it has changed.
-    fn move_to(&self, driver: &Driver, required: RequiredSubscription, since: Instant) {
-        let RequiredSubscription { pool, address, .. } = required;
-        let has_moved = self.discovery.send_if_modified(|discovery| {
-            let moves = discovery.address != address;
-            if moves {
-                *discovery = DiscoveryAddress { address, since };
+    /// Switches to the discovery's address and settings, if they have changed.
+    fn change_target(&self, required: RequiredSubscription, since: Instant) {
+        let RequiredSubscription { address, config, .. } = required;
+        self.target.send_if_modified(|target| {
+            let has_changed = target.address != address || target.config != config;
+            if has_changed {
+                *target = SubscriptionTarget { address, since, config };
             }
-            moves
+            has_changed
         });
-        if has_moved {
-            info!("pool {}: discovery is now at {address}", driver.pool_name(pool));
-        }
     }
 }
 
--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -48,8 +48,10 @@
 
 fn kinds(names: &[String]) -> Result<Vec<FaultKind>, String> {
     let find = |name: &String| {
-        let found = FaultKind::ALL.into_iter().find(|kind| format!("{kind:?}").eq_ignore_ascii_case(name));
-        found.ok_or_else(|| format!("unknown fault kind {name}; expected one of {:?}", FaultKind::ALL))
+        FaultKind::named(name).ok_or_else(|| {
+            let (drawn, named) = (FaultKind::DRAWN, FaultKind::NAMED);
+            format!("unknown fault kind {name}; expected one of {drawn:?} or {named:?}")
+        })
     };
     names.iter().map(find).collect()
 }
--- a/crates/soak/src/oracle/tests.rs
+++ b/crates/soak/src/oracle/tests.rs
@@ -41,6 +41,27 @@
     assert_eq!(known_at(&evidence), Time(14_790_000), "6 s after discovery could be reached");
 }
 
+/// Guards against excusing requests to a backend whose drain the agent had before discovery moved, and against excusing a
+/// process that started after the move: the 4 s after a move concern only what the new discovery has.
+#[test]
+fn move_postpones_only_changes_that_discovery_received_after_it() {
+    let mut evidence = evidence(false);
+    evidence.discovery_moves[0] = vec![Time(5_300_000)];
+    let known_at = |evidence: &Evidence, change| evidence.change_known_at(&evidence.processes[0], 4, change);
+    assert_eq!(known_at(&evidence, Time(5_000_000)), Time(5_000_000), "the drain came before the move");
+    assert_eq!(known_at(&evidence, Time(5_300_000)), Time(9_300_000));
+    assert_eq!(known_at(&evidence, Time(6_000_000)), Time(9_300_000));
+    assert_eq!(known_at(&evidence, Time(9_400_000)), Time(9_400_000));
+    // Of a discovery that is down the proxy learns nothing before its return, which here is after the move.
+    evidence.discovery_outages[0] = vec![(Time(4_900_000), Time(9_500_000))];
+    assert_eq!(known_at(&evidence, Time(5_000_000)), Time(9_500_000));
+    evidence.discovery_outages[0] = vec![(Time(4_900_000), Time(5_500_000))];
+    assert_eq!(known_at(&evidence, Time(5_000_000)), Time(9_300_000));
+    evidence.discovery_outages[0].clear();
+    evidence.processes[0].started_at = Time(5_400_000);
+    assert_eq!(known_at(&evidence, Time(6_000_000)), Time(6_000_000), "started after the move");
+}
+
 #[test]
 fn process_must_be_ready_soon_after_its_address_is_free() {
     let mut evidence = evidence(false);
--- a/crates/soak/src/plan/builder.rs
+++ b/crates/soak/src/plan/builder.rs
@@ -80,14 +80,14 @@
 
     /// Draws the number of fault kinds that the scale sets. Most runs have two of [`FaultKind::STARTS_AND_ENDS`].
     pub(super) fn draw_kinds(&mut self) -> Vec<FaultKind> {
-        let count = self.scale.faults.min(FaultKind::ALL.len());
+        let count = self.scale.faults.min(FaultKind::DRAWN.len());
         let mut drawn = Vec::new();
         if self.chance(0.7) {
             let mut related = FaultKind::STARTS_AND_ENDS.to_vec();
             drawn.extend((0..count.min(2)).map(|_| related.swap_remove(self.below(related.len()))));
         }
         let mut left: Vec<FaultKind> =
-            FaultKind::ALL.into_iter().filter(|kind| !drawn.contains(kind)).collect();
+            FaultKind::DRAWN.into_iter().filter(|kind| !drawn.contains(kind)).collect();
         while drawn.len() < count {
             drawn.push(left.swap_remove(self.below(left.len())));
         }
--- a/crates/soak/src/plan/fault_kind.rs
+++ b/crates/soak/src/plan/fault_kind.rs
@@ -42,11 +42,13 @@
     HalfConfiguration,
     /// Proxies are stopped in the first milliseconds of a start.
     EarlyStop,
+    /// The open calls at discovery fall silent, backends drain, and discovery moves to addresses at which it does not answer.
+    SilentMove,
 }
 
 impl FaultKind {
-    /// All kinds, in the order that the draws use.
-    pub const ALL: [FaultKind; 19] = [
+    /// The kinds that seeds draw from, in the order that the draws use.
+    pub const DRAWN: [FaultKind; 19] = [
         FaultKind::Stop,
         FaultKind::Kill,
         FaultKind::Reload,
@@ -68,6 +70,15 @@
         FaultKind::EarlyStop,
     ];
 
+    /// Kinds that are played only by name. They are not drawn, so that the plans of earlier seeds stay the same.
+    pub const NAMED: [FaultKind; 1] = [FaultKind::SilentMove];
+
+    /// Returns the kind of that name, whatever its case.
+    pub fn named(name: &str) -> Option<FaultKind> {
+        let mut kinds = FaultKind::DRAWN.into_iter().chain(FaultKind::NAMED);
+        kinds.find(|kind| format!("{kind:?}").eq_ignore_ascii_case(name))
+    }
+
     /// Kinds that concern starts, stops and full slots. Most runs have two of them.
     pub(super) const STARTS_AND_ENDS: [FaultKind; 8] = [
         FaultKind::Stop,
--- a/crates/soak/src/plan/faults.rs
+++ b/crates/soak/src/plan/faults.rs
@@ -46,6 +46,7 @@
             FaultKind::HalfConfiguration => self.add_half_configurations(),
             FaultKind::EarlyStop => self.add_early_stops(),
             FaultKind::Clients => self.add_misbehaving_clients(),
+            FaultKind::SilentMove => self.add_silent_moves(),
         }
     }
 
@@ -143,6 +144,22 @@
         }
     }
 
+    /// The drains come first, so that the run has time for late requests: the previous discovery has them at the moves.
+    fn add_silent_moves(&mut self) {
+        let at = self.between(0.1, 0.2) * self.length_s();
+        self.add(at, Step::OpenCallsSilent);
+        for backend in self.sample_backends(0.3) {
+            let delay = self.between(0.01, 0.1);
+            self.add(at + delay, Step::DrainBackend(backend));
+        }
+        for proxy in self.sample_proxies(0.8) {
+            let moved = at + self.between(0.12, 0.5);
+            self.add(moved, Step::ReloadToSilent(proxy));
+            let duration = self.between(3.5, 4.5);
+            self.add(moved + duration, Step::DiscoveryHealed(proxy));
+        }
+    }
+
     fn add_drains(&mut self) {
         for backend in self.sample_backends(0.3) {
             let at = self.time();
--- a/crates/soak/src/plan/step.rs
+++ b/crates/soak/src/plan/step.rs
@@ -10,6 +10,11 @@
     Restart(usize, Restart),
     /// Discovery moves to another address in a proxy's configuration, and the proxy receives SIGHUP.
     Reload(usize),
+    /// Discovery moves to another address in a proxy's configuration, at which it does not answer, and the proxy receives
+    /// SIGHUP.
+    ReloadToSilent(usize),
+    /// The open calls at discovery fall silent; new ones are answered.
+    OpenCallsSilent,
     /// A proxy is paused with SIGSTOP for this time, in ms.
     Freeze(usize, u64),
     /// Discovery does not answer.
--- a/crates/soak/src/proxies.rs
+++ b/crates/soak/src/proxies.rs
@@ -210,6 +210,11 @@
         }
     }
 
+    /// Returns the index of the address to which the next move takes discovery.
+    pub fn next_discovery(&self) -> usize {
+        (self.state().moves + 1) % 2
+    }
+
     /// Moves discovery to its other address, and sends the process SIGHUP.
     ///
     /// # Errors
--- a/crates/soak/src/run/steps.rs
+++ b/crates/soak/src/run/steps.rs
@@ -25,6 +25,8 @@
                 let _ = restarts[proxy].try_send(restart);
             }
             Step::Reload(proxy) => self.reload(proxy)?,
+            Step::ReloadToSilent(proxy) => self.reload_to_silent(proxy)?,
+            Step::OpenCallsSilent => self.discovery.silence_open_calls(),
             Step::Freeze(proxy, millis) => self.freeze(proxy, millis),
             Step::DiscoverySilent => self.stop_discovery(ListService::Silent),
             Step::DiscoveryBroken => self.stop_discovery(ListService::Broken),
@@ -55,6 +57,15 @@
         self.slots[proxy].move_discovery(&self.process_context())
     }
 
+    /// The address before the move stays reachable, so that the proxy can learn what discovery had before the move.
+    fn reload_to_silent(&self, proxy: usize) -> io::Result<()> {
+        let next = self.slots[proxy].next_discovery();
+        set_link(&self.discovery_links[proxy][next], LinkFault::cut(Cut::Silent))?;
+        self.reload(proxy)?;
+        self.discovery_unreachable_from_now(proxy..=proxy);
+        Ok(())
+    }
+
     fn freeze(self: &Arc<Testbed>, proxy: usize, millis: u64) {
         let testbed = self.clone();
         tokio::spawn(async move {
--- a/crates/soak/tests/soak.rs
+++ b/crates/soak/tests/soak.rs
@@ -1,4 +1,4 @@
-//! Runs the soak for about a minute: four runs with given fault kinds, three with drawn ones. The long form is
+//! Runs the soak for about a minute: six runs with given fault kinds, three with drawn ones. The long form is
 //! `shaletide-soak --seeds N`.
 
 use nix::sys::signal::Signal;
@@ -69,6 +69,8 @@
         vec![],
         vec![],
         vec![],
+        vec![FaultKind::SilentMove],
+        vec![FaultKind::SilentMove, FaultKind::Freeze, FaultKind::Clients],
     ];
     for (seed, kinds) in (1..).zip(&kinds) {
         let report = run_seed(seed, &scale(), kinds, &artifacts).expect("a run");
--- a/crates/testkit/src/list_server/connections.rs
+++ b/crates/testkit/src/list_server/connections.rs
@@ -4,6 +4,7 @@
 use super::{ListService, Shared};
 use crate::http_stream::{BodyRule, HttpStream};
 use std::net::TcpListener;
+use std::sync::atomic::Ordering;
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::net::TcpStream;
@@ -111,7 +112,11 @@
 async fn outcome(shared: &Shared, watcher: usize, call: &Call) -> Outcome {
     let mut state = shared.state.subscribe();
     let deadline = Instant::now() + call.wait;
+    let silences = shared.silences.load(Ordering::SeqCst);
     loop {
+        if shared.silences.load(Ordering::SeqCst) != silences {
+            std::future::pending::<()>().await;
+        }
         let service = state.borrow_and_update().1;
         match service {
             ListService::Failing => return Outcome::Failed,
--- a/crates/testkit/src/list_server/mod.rs
+++ b/crates/testkit/src/list_server/mod.rs
@@ -12,6 +12,7 @@
 use std::collections::BTreeMap;
 use std::io;
 use std::net::{SocketAddr, TcpListener};
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Condvar, Mutex, MutexGuard, PoisonError};
 use tokio::sync::watch;
 
@@ -38,6 +39,8 @@
     delivered: Condvar,
     /// The list version and the state of the service; long polls wait for its change.
     state: watch::Sender<(u64, ListService)>,
+    /// The number of times that the open calls have fallen silent.
+    silences: AtomicU64,
     clock: Clock,
 }
 
@@ -86,7 +89,13 @@
         }
         let list = EndpointList::new(watchers, entries).with_views(views);
         let state = watch::Sender::new((list.index(), ListService::Up));
-        let shared = Arc::new(Shared { list: Mutex::new(list), delivered: Condvar::new(), state, clock });
+        let shared = Arc::new(Shared {
+            list: Mutex::new(list),
+            delivered: Condvar::new(),
+            state,
+            silences: AtomicU64::new(0),
+            clock,
+        });
         let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
         let (stop, stopped) = tokio::sync::oneshot::channel::<()>();
         let thread_shared = shared.clone();
@@ -133,6 +142,12 @@
         self.shared.state.send_modify(|state| state.1 = service);
     }
 
+    /// Makes the open calls fall silent: they are never answered. Later calls are.
+    pub fn silence_open_calls(&self) {
+        self.shared.silences.fetch_add(1, Ordering::SeqCst);
+        self.shared.state.send_modify(|_| {});
+    }
+
     /// Drops the history: calls with an older version get a snapshot from now on.
     pub fn compact(&self) {
         self.shared.list().compact();
