Reject responses with a transfer coding other than chunked

Cause: any Transfer-Encoding counted as framing, and hop-by-hop headers are taken off. Change: only `chunked` alone is framing; another coding cannot be removed here and is an invalid response.

--- a/crates/http/src/upstream.rs
+++ b/crates/http/src/upstream.rs
@@ -216,17 +216,21 @@
 }
 
 impl BodyEnd {
-    /// Returns what ends the response with this head. Returns `None` if its headers contradict each other.
+    /// Returns what ends the response with this head. Returns `None` if its headers contradict each other, or if its body has a
+    /// coding that cannot be removed.
     fn of(head: &Parts, is_head_request: bool) -> Option<BodyEnd> {
         if is_head_request || matches!(head.status, StatusCode::NO_CONTENT | StatusCode::NOT_MODIFIED) {
             return Some(BodyEnd::Bodiless);
         }
         let has_length = head.headers.contains_key(CONTENT_LENGTH);
-        let has_encoding = head.headers.contains_key(TRANSFER_ENCODING);
-        match (has_length, has_encoding) {
-            (true, false) | (false, true) => Some(BodyEnd::Framing),
-            (false, false) => Some(BodyEnd::Connection),
-            (true, true) => None,
+        let mut codings = head.headers.get_all(TRANSFER_ENCODING).iter();
+        match (has_length, codings.next(), codings.next()) {
+            (true, None, None) => Some(BodyEnd::Framing),
+            (false, Some(coding), None) if coding.as_bytes().eq_ignore_ascii_case(b"chunked") => {
+                Some(BodyEnd::Framing)
+            }
+            (false, None, None) => Some(BodyEnd::Connection),
+            _ => None,
         }
     }
 }
--- a/crates/shaletide/tests/response_end.rs
+++ b/crates/shaletide/tests/response_end.rs
@@ -109,12 +109,15 @@
     }
 }
 
-/// A length or a last chunk that is announced and does not come is missing, however the connection ends.
+/// A length or a last chunk that is announced and does not come is missing, however the connection ends; so is the end of a
+/// coding that the proxy cannot remove.
 #[test]
 fn announced_end_is_not_replaced_by_the_end_of_the_connection() {
     for response in [
         "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nthe body",
         "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n8\r\nthe body\r\n",
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip\r\n\r\nthe body",
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip, chunked\r\n\r\n8\r\nthe body\r\n0\r\n\r\n",
         "HTTP/1.1 200 OK\r\nContent-Length: 8\r\nTransfer-Encoding: gzip\r\n\r\nthe body",
     ] {
         let backend = EndingBackend::start(bytes(&[response]), End::InOrder);
