Move the end and the faults of responses into modules of their own

Moves alone, and documentation of the faults; a doc link of discovery to a private module goes, which the documentation build rejects.

--- a/crates/discovery/src/lib.rs
+++ b/crates/discovery/src/lib.rs
@@ -85,7 +85,7 @@
 /// already has. When discovery moves, the call in flight is dropped at once, as a long poll may take a long time. A version
 /// has no meaning for another discovery, so that the new subscription begins with a snapshot. What the dropped call would
 /// have returned counts as known all the same: it is fetched from the previous discovery, until the new one has sent its
-/// first list (see [`previous`]).
+/// first list.
 ///
 /// Never returns. If the future is dropped, the pool keeps its current list.
 pub async fn run_subscription(
--- a/crates/http/src/upstream.rs
+++ b/crates/http/src/upstream.rs
@@ -1,10 +1,15 @@
 //! Performs the exchange with a backend: writes a client's request to a connection, reads the response and classifies it.
 
+mod body_end;
+mod exchange_error;
+
+use body_end::BodyEnd;
 use bytes::Bytes;
+use exchange_error::{ExchangeError, ResponseFault};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Body;
 use hyper::client::conn::http1::{self, SendRequest};
-use hyper::header::{HeaderName, HeaderValue, CONNECTION, CONTENT_LENGTH, HOST, TRANSFER_ENCODING};
+use hyper::header::{HeaderName, HeaderValue, CONNECTION, CONTENT_LENGTH, HOST};
 use hyper::http::response::Parts;
 use hyper::{HeaderMap, Method, Request, StatusCode, Uri, Version};
 use shaletide_balancer::{AttemptNumber, LoadReport};
@@ -15,7 +20,6 @@
 };
 use shaletide_routing::{ErrorResponses, LastResponse, ResponseClass, ResponseRules};
 use std::cell::RefCell;
-use std::fmt;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -154,49 +158,6 @@
     has_excess_bytes: bool,
 }
 
-/// The reason why there is no complete response. The request may have been executed nevertheless.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum ExchangeError {
-    /// The received bytes are not a valid response, or the response took too long.
-    InvalidResponse(ResponseFault),
-    /// The connection was closed or reset before the response was complete.
-    Closed,
-}
-
-impl From<hyper::Error> for ExchangeError {
-    fn from(error: hyper::Error) -> ExchangeError {
-        if error.is_parse() {
-            ExchangeError::InvalidResponse(ResponseFault::Malformed)
-        } else {
-            ExchangeError::Closed
-        }
-    }
-}
-
-/// The fault of an invalid response.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum ResponseFault {
-    Malformed,
-    UnrequestedUpgrade,
-    AmbiguousLength,
-    TooLong,
-    Stalled,
-    MayAnswerPreviousRequest,
-}
-
-impl fmt::Display for ResponseFault {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.write_str(match self {
-            ResponseFault::Malformed => "not valid HTTP",
-            ResponseFault::UnrequestedUpgrade => "an upgrade that was not requested",
-            ResponseFault::AmbiguousLength => "its end is ambiguous",
-            ResponseFault::TooLong => "its body is too long",
-            ResponseFault::Stalled => "not complete in time",
-            ResponseFault::MayAnswerPreviousRequest => "it began before the request was written",
-        })
-    }
-}
-
 /// A response as read by hyper.
 struct ReceivedResponse {
     head: Parts,
@@ -204,37 +165,6 @@
     body_end: BodyEnd,
 }
 
-/// What marks the end of a response's body (RFC 9112, section 6.3).
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum BodyEnd {
-    /// There is no body, whatever the headers say.
-    Bodiless,
-    /// Its length, or its last chunk.
-    Framing,
-    /// The orderly end of the connection. A reset is an error and completes nothing.
-    Connection,
-}
-
-impl BodyEnd {
-    /// Returns what ends the response with this head. Returns `None` if its headers contradict each other, or if its body has a
-    /// coding that cannot be removed.
-    fn of(head: &Parts, is_head_request: bool) -> Option<BodyEnd> {
-        if is_head_request || matches!(head.status, StatusCode::NO_CONTENT | StatusCode::NOT_MODIFIED) {
-            return Some(BodyEnd::Bodiless);
-        }
-        let has_length = head.headers.contains_key(CONTENT_LENGTH);
-        let mut codings = head.headers.get_all(TRANSFER_ENCODING).iter();
-        match (has_length, codings.next(), codings.next()) {
-            (true, None, None) => Some(BodyEnd::Framing),
-            (false, Some(coding), None) if coding.as_bytes().eq_ignore_ascii_case(b"chunked") => {
-                Some(BodyEnd::Framing)
-            }
-            (false, None, None) => Some(BodyEnd::Connection),
-            _ => None,
-        }
-    }
-}
-
 /// Writes one request and reads its response. Each exchange uses a new hyper connection on the stream. That connection
 /// returns excess bytes, so that they cannot be taken for the next response. If the future is dropped before it completes, a
 /// part of the request or response remains on the stream, which must then be closed.
