Soak: what a silent long poll misses counts 2 s after its wait

Their long polls wait 6 to 14 s and had fallen silent; the users' page lets what such a call misses count "2 s after that wait is over, if that is later". The oracle had no silent calls before and counted 6 s.

The stand-in records the calls that fall silent, and the oracle applies the sentence to them, not to a call that a move has given up.

--- a/crates/soak/src/oracle/evidence.rs
+++ b/crates/soak/src/oracle/evidence.rs
@@ -4,7 +4,7 @@
 use crate::clients::ClientDisconnect;
 use crate::proxies::ProcessRecord;
 use crate::settings::RunSettings;
-use shaletide_testkit::{Ledger, LoadResult, Record};
+use shaletide_testkit::{Ledger, LoadResult, Record, SilentCall};
 use shaletide_types::{Micros, Time};
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
@@ -97,6 +97,8 @@
     pub log_lines: Vec<String>,
     /// List entries that discovery wrote; empty unless the proxies poll discovery.
     pub list_writes: Vec<ListWrite>,
+    /// Calls at discovery that fell silent; the watcher is the index of the proxy.
+    pub silent_calls: Vec<SilentCall>,
     /// Whether the proxies poll discovery, so that a change is known when it is written.
     pub polls_discovery: bool,
     /// Whether processes were paused.
@@ -126,6 +128,7 @@
             has_idle_crowds: false,
             log_lines: Vec::new(),
             list_writes: Vec::new(),
+            silent_calls: Vec::new(),
             polls_discovery: false,
             processes_paused: false,
             program,
--- a/crates/soak/src/oracle/tests.rs
+++ b/crates/soak/src/oracle/tests.rs
@@ -6,7 +6,7 @@
 use nix::sys::signal::Signal;
 use shaletide_testkit::{
     BackendInfo, BackendSpec, Boot, CpuCapacity, End, Ended, Fleet, Ledger, Load, LoadClass, LoadResult,
-    Record, Repeat, Sent,
+    Record, Repeat, Sent, SilentCall,
 };
 use shaletide_types::Idempotency;
 use std::collections::BTreeSet;
@@ -44,6 +44,26 @@
     assert_eq!(known_at(&evidence), Time(14_790_000), "6 s after discovery could be reached");
 }
 
+/// What a silent long poll misses counts 2 s after its wait, if that is later than 6 s after the change; not where a move has
+/// given the call up, and not for a process that did not make it.
+#[test]
+fn change_missed_by_silent_long_poll_is_known_after_its_wait() {
+    let mut evidence = evidence(true);
+    let change = Time(5_000_000);
+    let known_at = |evidence: &Evidence| evidence.change_known_at(&evidence.processes[0], 4, change);
+    let call =
+        |wait_ends_at| SilentCall { watcher: 0, at: Time(4_900_000), wait_ends_at: Time(wait_ends_at) };
+    evidence.silent_calls = vec![call(8_000_000)];
+    assert_eq!(known_at(&evidence), Time(11_000_000), "6 s after the change is later");
+    evidence.silent_calls = vec![call(12_000_000)];
+    assert_eq!(known_at(&evidence), Time(14_000_000));
+    evidence.discovery_moves[0] = vec![Time(5_300_000)];
+    assert_eq!(known_at(&evidence), Time(11_000_000), "the call was given up");
+    evidence.discovery_moves[0].clear();
+    evidence.silent_calls[0].watcher = 1;
+    assert_eq!(known_at(&evidence), Time(11_000_000), "another proxy's call");
+}
+
 /// Guards against excusing requests to a backend whose drain the agent had before discovery moved, and against excusing a
 /// process that started after the move: the 4 s after a move concern only what the new discovery has.
 #[test]
--- a/crates/soak/src/run/observations.rs
+++ b/crates/soak/src/run/observations.rs
@@ -79,6 +79,7 @@
             has_idle_crowds: has_kind(plan, &[FaultKind::Crowd, FaultKind::Clients]),
             log_lines,
             list_writes: if self.polls_discovery { self.list_writes() } else { Vec::new() },
+            silent_calls: self.discovery.silent_calls(),
             polls_discovery: self.polls_discovery,
             processes_paused: pauses_processes(plan),
             program: self.artifacts.program.clone(),
--- a/crates/soak/tests/verdict_identity.rs
+++ b/crates/soak/tests/verdict_identity.rs
@@ -192,6 +192,7 @@
             has_idle_crowds: self.one_in(2),
             log_lines: ["p0-0: panicked at 1", "p1-1: self-check: 2"].map(String::from).to_vec(),
             list_writes,
+            silent_calls: Vec::new(),
             polls_discovery: self.one_in(3),
             processes_paused: self.one_in(2),
             program: "program".into(),
--- a/crates/testkit/src/lib.rs
+++ b/crates/testkit/src/lib.rs
@@ -39,7 +39,7 @@
 pub use fault::{backend_body, Answer, Fault, Sending};
 pub use fleet::{BackendHandle, BackendSpec, BackendStats, Fleet, FleetSpec, Service};
 pub use ledger::{BackendInfo, Boot, Ended, Ledger, Record, Repeat, MAX_RECORDS};
-pub use list_server::{Delivery, Entry, ListServer, ListService, Status, View, MAX_DELIVERIES};
+pub use list_server::{Delivery, Entry, ListServer, ListService, SilentCall, Status, View, MAX_DELIVERIES};
 pub use load::{
     measure_sequential, ClassResult, End, Exchange, KeptConnection, Latencies, Load, LoadClass, LoadResult,
     Retry, Sent,
--- a/crates/testkit/src/list_server/connections.rs
+++ b/crates/testkit/src/list_server/connections.rs
@@ -1,11 +1,12 @@
 //! The connections of the discovery server, with a task for each.
 
 use super::endpoint_list::Answer;
-use super::{ListService, Shared};
+use super::{ListService, Shared, SilentCall};
 use crate::http_stream::{BodyRule, HttpStream};
+use shaletide_types::Micros;
 use std::net::TcpListener;
 use std::sync::atomic::Ordering;
-use std::sync::Arc;
+use std::sync::{Arc, PoisonError};
 use std::time::Duration;
 use tokio::net::TcpStream;
 use tokio::time::Instant;
@@ -112,9 +113,12 @@
 async fn outcome(shared: &Shared, watcher: usize, call: &Call) -> Outcome {
     let mut state = shared.state.subscribe();
     let deadline = Instant::now() + call.wait;
+    let wait_ends_at = shared.clock.now() + Micros(call.wait.as_micros() as u64);
     let silences = shared.silences.load(Ordering::SeqCst);
     loop {
         if shared.silences.load(Ordering::SeqCst) != silences {
+            let silent = SilentCall { watcher, at: shared.clock.now(), wait_ends_at };
+            shared.silent_calls.lock().unwrap_or_else(PoisonError::into_inner).push(silent);
             std::future::pending::<()>().await;
         }
         let service = state.borrow_and_update().1;
--- a/crates/testkit/src/list_server/mod.rs
+++ b/crates/testkit/src/list_server/mod.rs
@@ -9,6 +9,7 @@
 use crate::checks::Drained;
 use crate::{Clock, WAIT_LIMIT};
 use endpoint_list::EndpointList;
+use shaletide_types::Time;
 use std::collections::BTreeMap;
 use std::io;
 use std::net::{SocketAddr, TcpListener};
@@ -33,6 +34,17 @@
     Silent,
 }
 
+/// A call that has fallen silent while it waited for changes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct SilentCall {
+    /// Index of the watcher that made it.
+    pub watcher: usize,
+    /// When it fell silent.
+    pub at: Time,
+    /// When its wait for changes is over.
+    pub wait_ends_at: Time,
+}
+
 /// State shared by the serving thread and the callers that change the list.
 struct Shared {
     list: Mutex<EndpointList>,
@@ -41,6 +53,8 @@
     state: watch::Sender<(u64, ListService)>,
     /// The number of times that the open calls have fallen silent.
     silences: AtomicU64,
+    /// The calls that have fallen silent.
+    silent_calls: Mutex<Vec<SilentCall>>,
     clock: Clock,
 }
 
@@ -94,6 +108,7 @@
             delivered: Condvar::new(),
             state,
             silences: AtomicU64::new(0),
+            silent_calls: Mutex::default(),
             clock,
         });
         let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
@@ -142,6 +157,11 @@
         self.shared.state.send_modify(|state| state.1 = service);
     }
 
+    /// Returns the open calls that have fallen silent so far.
+    pub fn silent_calls(&self) -> Vec<SilentCall> {
+        self.shared.silent_calls.lock().unwrap_or_else(PoisonError::into_inner).clone()
+    }
+
     /// Makes the open calls fall silent: they are never answered. Later calls are.
     pub fn silence_open_calls(&self) {
         self.shared.silences.fetch_add(1, Ordering::SeqCst);
