Let the subscription make the calls to the previous discovery

previous.rs had its own copy of the subscription's loop: what a call asks for, its time limits, an older delta, a failure and the pause after it. Subscription::catch_up makes these calls now with the subscription's own parts. Whether the pool's list has expired is no state any more: it follows from the time until which the previous discovery is asked. A failed call to it is logged in the subscription's words.

Behaviour is the same.

--- a/crates/discovery/src/lib.rs
+++ b/crates/discovery/src/lib.rs
@@ -44,6 +44,11 @@
     fn expiry_delay(&self) -> Duration {
         self.grace * 3 / 4
     }
+
+    /// Whether an unconfirmed list expires at all.
+    fn has_expiry(&self) -> bool {
+        self.expires_unconfirmed_list && self.mode == DiscoveryMode::Push
+    }
 }
 
 /// The discovery that a pool subscribes to, and the time from which it applies: the start of the program, or the signal that
@@ -65,8 +70,6 @@
     version: Cell<Option<u64>>,
     /// When it last answered a call with a list.
     confirmed_at: Cell<Option<Instant>>,
-    /// Whether the earlier list has expired and no list was received since.
-    has_expired: Cell<bool>,
 }
 
 impl ListState {
@@ -77,7 +80,6 @@
     fn set_received(&self, version: u64) {
         self.version.set(Some(version));
         self.confirmed_at.set(Some(Instant::now()));
-        self.has_expired.set(false);
     }
 }
 
@@ -97,22 +99,27 @@
     let state = ListState::default();
     let mut expires_at = target.since + target.config.expiry_delay();
     let mut previous: Option<PreviousDiscovery> = None;
+    let mut fetch_previous_until = expires_at;
     loop {
         let subscription = Subscription::new(&driver, pool, target, known_version, &state);
         let expiry = expire_unconfirmed(&driver, pool, expires_at, target.config, &state);
-        let missed_changes = fetch_missed_changes(&driver, pool, previous.as_ref(), &state);
+        let missed_changes =
+            fetch_missed_changes(&driver, pool, previous.as_ref(), fetch_previous_until, &state);
         tokio::select! {
             _ = async { tokio::join!(subscription.run(), expiry, missed_changes) } => {}
             Ok(()) = targets.changed() => {
                 let next = *targets.borrow_and_update();
                 if next.address != target.address {
                     log_move(&driver, pool, target.address, next.address, &state);
-                    previous = previous_after_move(previous, target, next, &state, known_version);
+                    previous = previous_after_move(previous, target, next.address, &state, known_version);
                     let expires_after_move = next.since + MOVE_ALLOWANCE + next.config.expiry_delay();
                     expires_at = match state.has_list() {
                         true => expires_after_move,
                         false => expires_at.min(expires_after_move),
                     };
+                    // From then on the new discovery's list counts as known, or the pool's list has expired.
+                    fetch_previous_until =
+                        if next.config.has_expiry() { expires_at } else { expires_after_move };
                     state.version.set(None);
                 }
                 // With other settings, too, a call without a wait replaces the one that was dropped.
@@ -123,26 +130,20 @@
     }
 }
 
-/// Returns the discovery from which changes may have been missed, after a move from `current` to `next`. That is the last one
-/// that has sent a list, as the pool has its list, or the one of the start.
+/// Returns the discovery from which changes may have been missed, after a move from `current` to the address `next`. That is
+/// the last one that has sent a list, as the pool has its list, or the one of the start.
 fn previous_after_move(
-    previous: Option<PreviousDiscovery>, current: SubscriptionTarget, next: SubscriptionTarget,
-    state: &ListState, known_version: Option<u64>,
+    previous: Option<PreviousDiscovery>, current: SubscriptionTarget, next: SocketAddr, state: &ListState,
+    known_version: Option<u64>,
 ) -> Option<PreviousDiscovery> {
-    let fetch_until = next.since + MOVE_ALLOWANCE + next.config.expiry_delay();
     let unanswered = previous.filter(|previous| !previous.has_answered.get() && !state.has_list());
-    let previous = match unanswered {
-        Some(previous) => PreviousDiscovery { fetch_until, ..previous },
-        None => PreviousDiscovery {
-            address: current.address,
-            config: current.config,
-            version: state.version.get().or(known_version),
-            fetch_until,
-            has_answered: Cell::new(false),
-        },
-    };
+    let previous = unanswered.unwrap_or_else(|| PreviousDiscovery {
+        target: current,
+        version: state.version.get().or(known_version),
+        has_answered: Cell::new(false),
+    });
     // The subscription itself calls a discovery that is the current one again.
-    Some(previous).filter(|previous| previous.address != next.address)
+    Some(previous).filter(|previous| previous.target.address != next)
 }
 
 /// Logs a move, with what tells whether changes of the earlier discovery may have been missed.
@@ -162,7 +163,7 @@
 async fn expire_unconfirmed(
     driver: &Rc<Driver>, pool: PoolId, at: Instant, config: SubscriptionConfig, state: &ListState,
 ) {
-    if !config.expires_unconfirmed_list || config.mode != DiscoveryMode::Push {
+    if !config.has_expiry() {
         return;
     }
     // If the startup itself took that long, the old list must not be used for even one turn of the event loop.
@@ -174,7 +175,6 @@
             "pool {}: discovery sent no list in time; removing all backends of the earlier list",
             driver.pool_name(pool)
         );
-        state.has_expired.set(true);
         driver.update_endpoints(pool, EndpointUpdate::Snapshot, Vec::new());
     }
 }
--- a/crates/discovery/src/subscription.rs
+++ b/crates/discovery/src/subscription.rs
@@ -78,23 +78,49 @@
             self.driver.poll_requested(self.pool).await;
         }
         loop {
-            let call = self.next_call();
-            let fetched = fetch(&mut self.connection, self.address, &call.uri, call.timeouts).await;
-            let result = fetched.and_then(|list| require_snapshot(list, self.wants_snapshot));
-            self.immediate_call_timed_out = !call.is_long_poll && matches!(result, Err(PollError::TimedOut));
+            let (call, result) = self.make_call().await;
             match result {
                 Ok(list) => self.on_list(&call, &list).await,
-                Err(error) => self.on_failure(&call, error).await,
+                Err(error) => self.on_failure(&call, &error).await,
             }
         }
     }
 
+    /// Calls discovery without waiting for changes, until it answers, and returns its list. Returns `None` once the list is not
+    /// wanted any more. Applies nothing. If the future is dropped, nothing was received.
+    pub(crate) async fn catch_up(mut self, is_wanted: impl Fn() -> bool) -> Option<List> {
+        self.is_catching_up = true;
+        while is_wanted() {
+            let (call, result) = self.make_call().await;
+            match result {
+                Ok(list) if self.is_older(&list) => self.wants_snapshot = true,
+                Ok(list) => return Some(list).filter(|_| is_wanted()),
+                Err(error) => {
+                    self.record_failure(&error);
+                    tokio::time::sleep_until(self.latest_retry(&call).into()).await;
+                }
+            }
+        }
+        None
+    }
+
+    async fn make_call(&mut self) -> (Call, Result<List, PollError>) {
+        let call = self.next_call();
+        let fetched = fetch(&mut self.connection, self.address, &call.uri, call.timeouts).await;
+        let result = fetched.and_then(|list| require_snapshot(list, self.wants_snapshot));
+        self.immediate_call_timed_out = !call.is_long_poll && matches!(result, Err(PollError::TimedOut));
+        (call, result)
+    }
+
     fn next_call(&mut self) -> Call {
         let wait = match self.is_catching_up {
             true => Duration::ZERO,
             false => self.schedule.long_poll_wait(self.config.position, self.long_polls),
         };
-        let uri = targets_uri(Some(self.version).filter(|_| !self.wants_snapshot), wait);
+        let uri = match self.wants_snapshot {
+            true => "/api/targets".to_string(),
+            false => format!("/api/targets?after={}&wait_ms={}", self.version, wait.as_millis()),
+        };
         let is_long_poll = !self.wants_snapshot && !self.is_catching_up;
         if is_long_poll {
             self.long_polls = self.long_polls.wrapping_add(1);
@@ -121,8 +147,7 @@
         self.failures = 0;
         self.is_catching_up = false;
         let is_unchanged = call.is_long_poll && list.index == self.version;
-        // A delta that is older than the pool's list means that discovery was restarted, so a snapshot is needed.
-        let is_older = !list.snapshot && list.index < self.version;
+        let is_older = self.is_older(list);
         if !is_older {
             let update = if list.snapshot { EndpointUpdate::Snapshot } else { EndpointUpdate::Delta };
             apply_list(self.driver, self.pool, update, list);
@@ -137,42 +162,50 @@
         }
     }
 
-    async fn on_failure(&mut self, call: &Call, error: PollError) {
-        self.connection = None;
-        self.failures += 1;
-        let failures = self.failures;
-        if failures.is_power_of_two() {
-            let (name, address) = (self.driver.pool_name(self.pool), self.address);
-            warn!("pool {name}: discovery at {address}: call failed, {failures} in a row: {error}");
-        }
-        // Such a status may mean that discovery no longer has the version, and will never have it again.
-        self.wants_snapshot |= matches!(error, PollError::Status(..500));
+    /// Whether a list is a delta that is older than the pool's list: discovery was restarted, so that a snapshot is needed.
+    fn is_older(&self, list: &List) -> bool {
+        !list.snapshot && list.index < self.version
+    }
+
+    async fn on_failure(&mut self, call: &Call, error: &PollError) {
+        self.record_failure(error);
         if self.config.mode == DiscoveryMode::Push {
-            tokio::time::sleep(self.schedule.backoff(failures)).await;
+            tokio::time::sleep_until(self.latest_retry(call).into()).await;
         } else {
             discard_request(self.driver.poll_requested(self.pool)).await;
             self.driver.update_endpoints(self.pool, EndpointUpdate::SubscriptionLost, Vec::new());
             // The balancer decides when to poll again, up to a maximum delay.
-            let position = self.config.position;
-            let latest = self.schedule.latest_retry(call.made_at, Instant::now(), position, failures);
             let requested = self.driver.poll_requested(self.pool);
-            let _ = tokio::time::timeout_at(latest.into(), requested).await;
+            let _ = tokio::time::timeout_at(self.latest_retry(call).into(), requested).await;
         }
         // A call without a wait shows at once whether discovery is reachable again.
         self.is_catching_up = true;
     }
-}
 
-/// Returns the URI of a call for the changes after `version`, which waits for changes up to `wait`, or for a snapshot.
-pub(crate) fn targets_uri(version: Option<u64>, wait: Duration) -> String {
-    match version {
-        Some(version) => format!("/api/targets?after={version}&wait_ms={}", wait.as_millis()),
-        None => "/api/targets".to_string(),
+    fn record_failure(&mut self, error: &PollError) {
+        self.connection = None;
+        self.failures += 1;
+        let failures = self.failures;
+        if failures.is_power_of_two() {
+            let (name, address) = (self.driver.pool_name(self.pool), self.address);
+            warn!("pool {name}: discovery at {address}: call failed, {failures} in a row: {error}");
+        }
+        // Such a status may mean that discovery no longer has the version, and will never have it again.
+        self.wants_snapshot |= matches!(error, PollError::Status(..500));
+    }
+
+    /// Returns the latest time of the next call after one that has just failed.
+    fn latest_retry(&self, call: &Call) -> Instant {
+        let now = Instant::now();
+        match self.config.mode {
+            DiscoveryMode::Push => now + self.schedule.backoff(self.failures),
+            _ => self.schedule.latest_retry(call.made_at, now, self.config.position, self.failures),
+        }
     }
 }
 
 /// Returns an error if a call for a snapshot returned a delta.
-pub(crate) fn require_snapshot(list: List, wants_snapshot: bool) -> Result<List, PollError> {
+fn require_snapshot(list: List, wants_snapshot: bool) -> Result<List, PollError> {
     if wants_snapshot && !list.snapshot {
         return Err(PollError::NotASnapshot);
     }
