Soak: one function says whether a request ended by the kill of its process

check_lengthless_answers had the condition of check_answers once more, turned round. Measured: 18 unit tests of the soak and the verdicts on generated evidence are the same.

--- a/crates/soak/src/oracle/answers.rs
+++ b/crates/soak/src/oracle/answers.rs
@@ -1,9 +1,21 @@
 //! Checks the answers that clients received.
 
 use super::{report, seconds, Evidence, Invariant, Violation};
+use crate::proxies::ProcessRecord;
 use shaletide_testkit::{checks, End, Ended, Sent};
+use shaletide_types::Time;
 use std::collections::BTreeMap;
 
+/// Returns when a request ended for its client.
+fn ended_at(sent: &Sent) -> Time {
+    sent.arrived + sent.latency
+}
+
+/// Returns whether a request ended after its process was killed.
+fn ended_by_kill(process: &ProcessRecord, sent: &Sent) -> bool {
+    process.killed_at.is_some_and(|killed| ended_at(sent) >= killed)
+}
+
 impl Evidence {
     /// Returns whether a request was sent on a connection that a conflicting listener accepted in place of the proxy.
     fn used_conflicting_listener(&self, proxy: usize, sent: &Sent) -> bool {
@@ -24,8 +36,7 @@
                 let id = records.load.id(sent.number);
                 let is_whole =
                     ends_by_id.get(&id[..]).is_some_and(|ends| ends == &[Some(Ended::ServedUntilClose)]);
-                let ended_at = sent.arrived + sent.latency;
-                if is_whole && process.killed_at.is_none_or(|killed| ended_at < killed) {
+                if is_whole && !ended_by_kill(process, sent) {
                     whole += 1;
                     forwarded += usize::from(sent.end == End::Status(200));
                 }
@@ -41,11 +52,10 @@
         for records in &self.clients {
             let process = &self.processes[records.process];
             for sent in &records.load.sent {
-                let ended_at = sent.arrived + sent.latency;
-                let is_killed = process.killed_at.is_some_and(|killed| ended_at >= killed);
+                let is_killed = ended_by_kill(process, sent);
                 let id = records.load.id(sent.number);
                 let text = || {
-                    let (from, to) = (seconds(sent.arrived), seconds(ended_at));
+                    let (from, to) = (seconds(sent.arrived), seconds(ended_at(sent)));
                     let (proxy, end) = (process.proxy, sent.end);
                     let resent = if sent.resent { ", sent again on a new connection" } else { "" };
                     format!("{id} at p{proxy} from {from:.3} to {to:.3} s: {end:?}{resent}")
