--- a/crates/shaletide/tests/discovery_moves.rs
+++ b/crates/shaletide/tests/discovery_moves.rs
@@ -3,6 +3,7 @@
 
 mod harness;
 
+use harness::backend_pair::{answer_until_polled, BackendPair};
 use harness::*;
 use std::time::{Duration, Instant};
 
@@ -11,47 +12,15 @@
 /// The log's line once the changes are applied.
 const APPLIED: &str = "answered with list version 10";
 
-/// Two backends; the list before the drain of the first, and the changes that drain it.
-struct Backends {
-    drained: BackendServer,
-    other: BackendServer,
-}
-
-impl Backends {
-    fn start() -> Backends {
-        Backends {
-            drained: BackendServer::start(|_| ok_reply("drained")),
-            other: BackendServer::start(|_| ok_reply("other")),
-        }
-    }
-
-    fn before(&self) -> [String; 1] {
-        [endpoint_json("b0", self.drained.address, "SERVING")]
-    }
-
-    fn changes(&self) -> [String; 2] {
-        [
-            endpoint_json("b0", self.drained.address, "DRAINING"),
-            endpoint_json("b1", self.other.address, "SERVING"),
-        ]
-    }
-}
-
-/// Answers the current discovery's calls until its list, version 9, is applied, and returns the long poll that follows: it
-/// stays unanswered.
-fn apply_first_list(discovery: &DiscoveryServer, backends: &Backends) -> impl Sized {
-    loop {
-        let (target, answer) = discovery.next_call();
-        if target.contains("after=9&") && !target.contains("&wait_ms=0 ") {
-            return answer;
-        }
-        let _ = answer.send((200, endpoint_list_json(9, true, &backends.before())));
-    }
+/// Answers the first discovery's calls until its list, version 9, is applied, and returns the long poll that follows: it stays
+/// unanswered.
+fn apply_first_list(discovery: &DiscoveryServer, backends: &BackendPair) -> impl Sized {
+    answer_until_polled(discovery, 9, &endpoint_list_json(9, true, &backends.old_entry()))
 }
 
 /// Answers the calls that do not wait until the program has logged that it applied the changes. On a busy machine a call may
 /// time out before its answer, and the first one may have been made before the move.
-fn answer_missed_changes(proxy: &RunningProgram, discovery: &DiscoveryServer, backends: &Backends) {
+fn answer_missed_changes(proxy: &RunningProgram, discovery: &DiscoveryServer, backends: &BackendPair) {
     let mut unanswered = Vec::new();
     while !is_logged_within(proxy, APPLIED, ANSWER_WAIT) {
         let (target, answer) = discovery.next_call();
@@ -78,14 +47,6 @@
     proxy.log.since(0).iter().any(|line| line.contains(text))
 }
 
-fn expect_drained(proxy: &RunningProgram, backends: &Backends) {
-    let before = backends.drained.request_count();
-    for _ in 0..8 {
-        assert_eq!(proxy.request(&pay_request(3.0)).body, b"other", "a draining backend gets nothing new");
-    }
-    assert_eq!(backends.drained.request_count(), before);
-}
-
 fn move_to(proxy: &Proxy, discovery: &DiscoveryServer) {
     proxy.move_discovery(discovery.address);
     proxy.signal("HUP");
@@ -95,24 +56,24 @@
 /// silent: the move dropped that call, and the new discovery was down.
 #[test]
 fn drain_missed_by_a_silent_watch_is_fetched_from_the_previous_discovery() {
-    let backends = Backends::start();
+    let backends = BackendPair::start();
     let subscribe = SETTINGS.replace("\"automatic\"", "\"subscribe\"");
     for settings in [SETTINGS, &subscribe] {
-        let proxy = Proxy::start_with_settings(&backends.before(), 1024, settings);
+        let proxy = Proxy::start_with_settings(&backends.old_entry(), 1024, settings);
         let _silent_watch = apply_first_list(&proxy.discovery, &backends);
         let new = DiscoveryServer::start();
         move_to(&proxy, &new);
         let _unanswered = new.next_call();
         answer_missed_changes(&proxy, &proxy.discovery, &backends);
-        expect_drained(&proxy, &backends);
+        backends.assert_only_new_is_used(&proxy, "a draining backend gets nothing new");
     }
 }
 
 /// Guards against forgetting the discovery that sent the pool's list when the next one is moved from before it has answered.
 #[test]
 fn drain_is_fetched_from_the_last_discovery_that_sent_a_list_after_several_moves() {
-    let backends = Backends::start();
-    let proxy = Proxy::start(&backends.before());
+    let backends = BackendPair::start();
+    let proxy = Proxy::start(&backends.old_entry());
     let _silent_watch = apply_first_list(&proxy.discovery, &backends);
     let silent = [DiscoveryServer::start(), DiscoveryServer::start()];
     let mut unanswered = Vec::new();
@@ -123,14 +84,14 @@
     // The call of the first move is unanswered, too.
     unanswered.push(proxy.discovery.next_call());
     answer_missed_changes(&proxy, &proxy.discovery, &backends);
-    expect_drained(&proxy, &backends);
+    backends.assert_only_new_is_used(&proxy, "a draining backend gets nothing new");
 }
 
 /// Guards against forgetting the previous discovery where the reload that moves discovery also changes the subscription's
 /// settings, as an operators' file can.
 #[test]
 fn drain_is_fetched_from_the_previous_discovery_where_settings_change_with_the_move() {
-    let backends = Backends::start();
+    let backends = BackendPair::start();
     let (old, new) = (DiscoveryServer::start(), DiscoveryServer::start());
     let file = |discovery: &DiscoveryServer, grace: &str| {
         let rules = format!("[rules]\ndrain_grace = \"{grace}\"\ncold_from = 1.0\n");
@@ -141,18 +102,18 @@
     proxy.reload_accepted(&file(&new, "3s"));
     let _unanswered = new.next_call();
     answer_missed_changes(&proxy, &old, &backends);
-    let before = backends.drained.request_count();
+    let before = backends.old.request_count();
     for _ in 0..8 {
-        assert_eq!(proxy.request(&request("/pay/k", 3.0, "")).body, b"other");
+        assert_eq!(proxy.request(&request("/pay/k", 3.0, "")).body, b"new");
     }
-    assert_eq!(backends.drained.request_count(), before);
+    assert_eq!(backends.old.request_count(), before);
 }
 
 /// The previous discovery's answer is older than the new discovery's list: it must not replace it.
 #[test]
 fn late_answer_of_the_previous_discovery_does_not_replace_the_new_list() {
-    let backends = Backends::start();
-    let proxy = Proxy::start(&backends.before());
+    let backends = BackendPair::start();
+    let proxy = Proxy::start(&backends.old_entry());
     let _silent_watch = apply_first_list(&proxy.discovery, &backends);
     let new = DiscoveryServer::start();
     move_to(&proxy, &new);
@@ -162,7 +123,7 @@
         let _ = pending.1.send((200, endpoint_list_json(7, true, &backends.changes())));
         pending = new.next_call();
     }
-    let _ = late.send((200, endpoint_list_json(10, true, &backends.before())));
-    expect_drained(&proxy, &backends);
+    let _ = late.send((200, endpoint_list_json(10, true, &backends.old_entry())));
+    backends.assert_only_new_is_used(&proxy, "a draining backend gets nothing new");
     assert!(!has_logged(&proxy, APPLIED));
 }
--- a/crates/shaletide/tests/harness/mod.rs
+++ b/crates/shaletide/tests/harness/mod.rs
@@ -1,6 +1,8 @@
 //! The test kit for this package's program. Cargo passes the program's path only to the package's own tests.
 #![allow(dead_code)]
 
+pub mod backend_pair;
+pub mod ending_backend;
 pub mod start;
 pub mod strace;
 pub mod trace;
--- a/crates/shaletide/tests/service_terms.rs
+++ b/crates/shaletide/tests/service_terms.rs
@@ -3,6 +3,8 @@
 
 mod harness;
 
+use harness::backend_pair::{answer_until_polled, BackendPair};
+use harness::ending_backend::{End, EndingBackend};
 use harness::*;
 use std::io::{BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
@@ -55,48 +57,6 @@
     format!("\n{}\n", spaced(&endpoint_list_json(index, snapshot, entries)))
 }
 
-/// Answers calls with this list until the proxy makes a long poll from the list's version on, and returns that call.
-fn answer_until_polled(
-    discovery: &DiscoveryServer, index: u64, body: &str,
-) -> (String, mpsc::Sender<(u16, String)>) {
-    loop {
-        let (target, answer) = discovery.next_call();
-        if target.contains(&format!("after={index}&")) && !target.contains("wait_ms=0 ") {
-            return (target, answer);
-        }
-        let _ = answer.send((200, body.to_string()));
-    }
-}
-
-/// Two backends. The old one drains and still answers, so that requests sent to it after a snapshot without it are counted.
-struct BackendPair {
-    old: BackendServer,
-    new: BackendServer,
-}
-
-impl BackendPair {
-    fn start() -> BackendPair {
-        BackendPair {
-            old: BackendServer::start(|_| ok_reply("old")),
-            new: BackendServer::start(|_| ok_reply("new")),
-        }
-    }
-    fn serving_entries(&self) -> [String; 2] {
-        [endpoint_json("b0", self.old.address, "SERVING"), endpoint_json("b1", self.new.address, "SERVING")]
-    }
-    /// Returns the entries of a snapshot without the draining backend.
-    fn entries_without_old(&self) -> [String; 1] {
-        [endpoint_json("b1", self.new.address, "SERVING")]
-    }
-    fn assert_only_new_is_used(&self, proxy: &Proxy, case: &str) {
-        let before = self.old.request_count();
-        for _ in 0..10 {
-            assert_eq!(proxy.request(&pay_request(3.0)).body, b"new", "{case}");
-        }
-        assert_eq!(self.old.request_count(), before, "{case}");
-    }
-}
-
 /// However many calls have failed, the next one comes early enough to be answered within 6 s of the moment at which discovery
 /// can be reached again, which is at the earliest right after the last failure; after SIGHUP within 4 s.
 #[test]
@@ -466,53 +426,26 @@
     assert!(sent_s <= left, "the request carries {sent_s} s, but {left} s are left");
 }
 
-/// How a response is cut off.
-#[derive(Clone, Copy, Debug)]
-enum Truncation {
-    Reset,
-    Close,
-}
-
-/// Starts a backend that begins each response with these bytes and then ends the connection.
-fn truncating_backend(prefix: &'static str, truncation: Truncation) -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
-    let address = listener.local_addr().unwrap();
-    std::thread::spawn(move || {
-        for tcp in listener.incoming().flatten() {
-            let mut reader = BufReader::new(tcp.try_clone().unwrap());
-            if Message::read(&mut reader).is_none() {
-                continue;
-            }
-            let mut tcp = tcp;
-            tcp.write_all(prefix.as_bytes()).unwrap();
-            // Gives the proxy time to receive the bytes: a reset that overtook them would not cut the response off.
-            std::thread::sleep(Duration::from_millis(20));
-            if let Truncation::Reset = truncation {
-                socket2::SockRef::from(&tcp).set_linger(Some(Duration::ZERO)).unwrap();
-            }
-        }
-    });
-    address
-}
-
 /// A reset never completes a response, whatever its framing; nor does a close of the connection before the declared length or
 /// the last chunk. Without either, a close in order is the end (RFC 9112, section 6.3): see `response_end.rs`.
 #[test]
 fn truncated_response_is_never_served_as_complete() {
-    use Truncation::{Close, Reset};
     let prefixes = [
-        ("HTTP/1.1 200 OK\r\n\r\nhalf of a bo", &[Reset][..]),
-        ("HTTP/1.0 200 OK\r\n\r\nhalf of a bo", &[Reset]),
-        ("HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nhalf of a bo", &[Reset]),
-        ("HTTP/1.1 200 O", &[Reset, Close]),
-        ("HTTP/1.1 200 OK\r\nX: half of a he", &[Reset, Close]),
-        ("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nc\r\nhalf of a bo\r\n", &[Reset, Close]),
-        ("HTTP/1.1 200 OK\r\nContent-Length: 20\r\n\r\nhalf of a bo", &[Reset, Close]),
+        ("HTTP/1.1 200 OK\r\n\r\nhalf of a bo", &[End::Reset][..]),
+        ("HTTP/1.0 200 OK\r\n\r\nhalf of a bo", &[End::Reset]),
+        ("HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nhalf of a bo", &[End::Reset]),
+        ("HTTP/1.1 200 O", &[End::Reset, End::InOrder]),
+        ("HTTP/1.1 200 OK\r\nX: half of a he", &[End::Reset, End::InOrder]),
+        (
+            "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nc\r\nhalf of a bo\r\n",
+            &[End::Reset, End::InOrder],
+        ),
+        ("HTTP/1.1 200 OK\r\nContent-Length: 20\r\n\r\nhalf of a bo", &[End::Reset, End::InOrder]),
     ];
-    for (prefix, truncations) in prefixes {
-        for truncation in truncations.iter().copied() {
-            let proxy =
-                Proxy::start(&[endpoint_json("b0", truncating_backend(prefix, truncation), "SERVING")]);
+    for (prefix, ends) in prefixes {
+        for end in ends.iter().copied() {
+            let backend = EndingBackend::start(&[prefix], end);
+            let proxy = Proxy::start(&[endpoint_json("b0", backend.address, "SERVING")]);
             for new_request in [read_request, pay_request, vote_request] {
                 let mut tcp = TcpStream::connect(proxy.address).unwrap();
                 tcp.set_read_timeout(Some(WAIT_LIMIT)).unwrap();
@@ -520,8 +453,8 @@
                 tcp.write_all(request.as_bytes()).unwrap();
                 let mut reader = BufReader::new(tcp);
                 let answer = Message::read(&mut reader).expect("an answer");
-                assert_ne!(answer.status(), 200, "{truncation:?} {prefix}");
-                assert!(!answer.body.starts_with(b"half"), "{truncation:?} {prefix}");
+                assert_ne!(answer.status(), 200, "{end:?} {prefix}");
+                assert!(!answer.body.starts_with(b"half"), "{end:?} {prefix}");
             }
         }
     }
