Review cases: the program under test ends with its case, however that ends

Need: a case that was killed left its proxy behind. Change: the stand-ins start the program so that it gets SIGKILL when the case ends. Result: a case killed by its id leaves no process; case 9 gives the same as before.

--- a/review/rig-2/mod.rs
+++ b/review/rig-2/mod.rs
@@ -5,6 +5,7 @@
 use std::collections::BTreeMap;
 use std::io::{ErrorKind, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::os::unix::process::CommandExt;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
@@ -14,8 +15,12 @@
 
 extern "C" {
     fn kill(pid: i32, signal: i32) -> i32;
+    fn prctl(option: i32, value: u64) -> i32;
 }
 
+/// prctl: the signal that a process gets when its parent ends.
+const PR_SET_PDEATHSIG: i32 = 1;
+
 pub const SIGHUP: i32 = 1;
 pub const SIGKILL: i32 = 9;
 pub const SIGTERM: i32 = 15;
@@ -467,6 +472,12 @@
     shell.arg("-c").arg(command).current_dir(root());
     shell.stdin(Stdio::null()).stdout(file.try_clone().unwrap()).stderr(file);
     with(&mut shell);
+    // Ends with the case, however that ends. Kept across `exec`.
+    let end_with_parent = || {
+        unsafe { prctl(PR_SET_PDEATHSIG, SIGKILL as u64) };
+        Ok(())
+    };
+    unsafe { shell.pre_exec(end_with_parent) };
     let child = shell.spawn().unwrap_or_else(|e| cannot_run(&format!("{command}: {e}")));
     Process { child, log }
 }
