Log how old the last confirmation of a list is when a call to discovery fails

The log of a failed call did not say whether the list was fresh when discovery fell silent, so that "the agent told the drain and the proxy forgot it", "the agent was not asked" and "a silent call was believed" could not be told apart. Change: a failed call logs the version and how long ago it was confirmed, in the words that a move uses.

--- a/crates/discovery/src/lib.rs
+++ b/crates/discovery/src/lib.rs
@@ -81,6 +81,16 @@
         self.version.set(Some(version));
         self.confirmed_at.set(Some(Instant::now()));
     }
+
+    /// Returns a text for the log that says which version was confirmed last, and how long ago.
+    fn last_confirmation(&self) -> String {
+        match (self.version.get(), self.confirmed_at.get()) {
+            (Some(version), Some(at)) => {
+                format!("list version {version} was confirmed {} ms ago", at.elapsed().as_millis())
+            }
+            _ => "it has sent no list".to_string(),
+        }
+    }
 }
 
 /// Keeps a pool's list up to date for the lifetime of the process. `known_version` is the version of the list that the pool
@@ -148,14 +158,11 @@
 
 /// Logs a move, with what tells whether changes of the earlier discovery may have been missed.
 fn log_move(driver: &Driver, pool: PoolId, from: SocketAddr, to: SocketAddr, state: &ListState) {
-    let name = driver.pool_name(pool);
-    match (state.version.get(), state.confirmed_at.get()) {
-        (Some(version), Some(confirmed_at)) => info!(
-            "pool {name}: discovery moves from {from} to {to}; list version {version} of {from} was confirmed {} ms ago",
-            confirmed_at.elapsed().as_millis()
-        ),
-        _ => info!("pool {name}: discovery moves from {from} to {to}; {from} has sent no list"),
-    }
+    info!(
+        "pool {}: discovery moves from {from} to {to}; of {from}: {}",
+        driver.pool_name(pool),
+        state.last_confirmation()
+    );
 }
 
 /// Removes all backends at time `at`, unless discovery has sent a list by then: they may have been draining in discovery for
--- a/crates/discovery/src/subscription.rs
+++ b/crates/discovery/src/subscription.rs
@@ -188,7 +188,8 @@
         let failures = self.failures;
         if failures.is_power_of_two() {
             let (name, address) = (self.driver.pool_name(self.pool), self.address);
-            warn!("pool {name}: discovery at {address}: call failed, {failures} in a row: {error}");
+            let confirmation = self.state.last_confirmation();
+            warn!("pool {name}: discovery at {address}: call failed, {failures} in a row: {error}; {confirmation}");
         }
         // Such a status may mean that discovery no longer has the version, and will never have it again.
         self.wants_snapshot |= matches!(error, PollError::Status(..500));
