--- a/crates/discovery/src/call.rs
+++ b/crates/discovery/src/call.rs
@@ -1,13 +1,14 @@
 //! A call to discovery: its connection, its response and its errors.
 
 use bytes::Bytes;
-use http_body_util::{BodyExt, Empty, Limited};
+use http_body_util::{BodyExt, Empty, LengthLimitError, Limited};
 use hyper::body::Incoming;
 use hyper::client::conn::http1;
 use hyper::Request;
 use shaletide_membership::List;
 use shaletide_net::timeout::{timeout, timeout_at, TimedOut};
 use shaletide_net::{drive_connection, BoxError, Stream};
+use std::cell::Cell;
 use std::future::{poll_fn, Future};
 use std::net::SocketAddr;
 use std::pin::Pin;
@@ -26,12 +27,25 @@
     Http(BoxError),
     Status(u16),
     InvalidBody(serde_json::Error),
+    /// A response began and did not arrive as a whole.
+    Incomplete(Box<PollError>),
     /// The response to a call for a snapshot was a delta.
     NotASnapshot,
     ConnectionClosed,
     TimedOut,
 }
 
+impl PollError {
+    /// Whether the call ended by one of its time limits.
+    pub(crate) fn is_timeout(&self) -> bool {
+        match self {
+            PollError::TimedOut => true,
+            PollError::Incomplete(cause) => cause.is_timeout(),
+            _ => false,
+        }
+    }
+}
+
 impl std::fmt::Display for PollError {
     fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
         match self {
@@ -39,6 +53,7 @@
             PollError::Http(error) => write!(f, "HTTP error: {error}"),
             PollError::Status(status) => write!(f, "response status {status}"),
             PollError::InvalidBody(error) => write!(f, "invalid response body: {error}"),
+            PollError::Incomplete(error) => write!(f, "response began and was not completed: {error}"),
             PollError::NotASnapshot => write!(f, "response has a delta, expected a snapshot"),
             PollError::ConnectionClosed => write!(f, "connection closed before the response was complete"),
             PollError::TimedOut => write!(f, "response timed out"),
@@ -102,14 +117,21 @@
         sender.ready().await.map_err(http_error)?;
         sender.send_request(request).await.map_err(http_error)
     };
+    let has_begun = Cell::new(false);
     let response = async {
         let response = timeout_at(head_deadline, head).await.map_err(timed_out)??;
         let status = response.status().as_u16();
+        has_begun.set(status == 200);
         let body = timeout(timeouts.body, read_body(response.into_body(), timeouts.body_piece));
         Ok((status, body.await.map_err(timed_out)??))
     };
     let driven = drive_connection(conn, response).await;
-    let (status, body) = driven.unwrap_or(Err(PollError::ConnectionClosed))?;
+    let (status, body) = driven.unwrap_or(Err(PollError::ConnectionClosed)).map_err(|error| {
+        match has_begun.get() && !is_too_long(&error) {
+            true => PollError::Incomplete(Box::new(error)),
+            false => error,
+        }
+    })?;
     *reusable = Some(connection);
     if status != 200 {
         return Err(PollError::Status(status));
@@ -134,6 +156,11 @@
     connection.is_open().await.then_some(connection)
 }
 
+/// Whether a response was given up because its body is longer than [`MAX_BODY_BYTES`].
+fn is_too_long(error: &PollError) -> bool {
+    matches!(error, PollError::Http(cause) if cause.is::<LengthLimitError>())
+}
+
 fn timed_out(_: TimedOut) -> PollError {
     PollError::TimedOut
 }
--- a/crates/discovery/src/call/tests.rs
+++ b/crates/discovery/src/call/tests.rs
@@ -226,7 +226,7 @@
         };
         let begun = Instant::now();
         let list = fetch(&mut None, at, "/api/targets", timeouts).await;
-        assert!(matches!(list, Err(PollError::TimedOut)));
+        assert!(matches!(list, Err(PollError::Incomplete(ref cause)) if cause.is_timeout()));
         assert!(begun.elapsed() < MAX_BODY_TIMEOUT, "{:?}", begun.elapsed());
     });
 }
@@ -238,7 +238,7 @@
     with_runtime(async {
         let begun = Instant::now();
         let list = fetch(&mut None, at, "/api/targets", timeouts(Duration::from_millis(500))).await;
-        assert!(matches!(list, Err(PollError::TimedOut)));
+        assert!(matches!(list, Err(PollError::Incomplete(ref cause)) if cause.is_timeout()));
         assert!(begun.elapsed() >= MAX_BODY_TIMEOUT, "{:?}", begun.elapsed());
     });
 }
--- a/crates/discovery/src/subscription.rs
+++ b/crates/discovery/src/subscription.rs
@@ -2,7 +2,7 @@
 
 use crate::call::{fetch, CallTimeouts, Connection, PollError};
 use crate::poll_schedule::PollSchedule;
-use crate::{apply_list, ListState, SubscriptionConfig, SubscriptionTarget};
+use crate::{apply_list, ListState, SubscriptionConfig, SubscriptionTarget, SILENT_POLL_ALLOWANCE};
 use shaletide_balancer::{DiscoveryMode, EndpointUpdate, PoolId};
 use shaletide_membership::List;
 use shaletide_net::Driver;
@@ -17,6 +17,10 @@
 /// The parameters of a call.
 struct Call {
     uri: String,
+    /// The version of the last list when the call was made.
+    last_version: Option<u64>,
+    /// The time for which discovery may wait for changes.
+    wait: Duration,
     /// Whether discovery responds only when there are changes or the call's wait is over.
     is_long_poll: bool,
     timeouts: CallTimeouts,
@@ -108,11 +112,16 @@
         let call = self.next_call();
         let fetched = fetch(&mut self.connection, self.address, &call.uri, call.timeouts).await;
         let result = fetched.and_then(|list| require_snapshot(list, self.wants_snapshot));
-        self.immediate_call_timed_out = !call.is_long_poll && matches!(result, Err(PollError::TimedOut));
+        self.immediate_call_timed_out =
+            !call.is_long_poll && result.as_ref().is_err_and(PollError::is_timeout);
         (call, result)
     }
 
     fn next_call(&mut self) -> Call {
+        let last_version = self.state.version();
+        // A confirmation may have returned a later version.
+        self.version = last_version.unwrap_or(self.version);
+        self.wants_snapshot |= self.state.has_expired();
         let wait = match self.is_catching_up {
             true => Duration::ZERO,
             false => self.schedule.long_poll_wait(self.config.position, self.long_polls),
@@ -131,7 +140,7 @@
         };
         let body = self.schedule.body_timeout(self.failures);
         let timeouts = CallTimeouts { head, body_piece: self.schedule.response_timeout, body };
-        Call { uri, is_long_poll, timeouts, made_at: Instant::now() }
+        Call { uri, last_version, wait, is_long_poll, timeouts, made_at: Instant::now() }
     }
 
     async fn on_list(&mut self, call: &Call, list: &List) {
@@ -148,7 +157,9 @@
         self.is_catching_up = false;
         let is_unchanged = call.is_long_poll && list.index == self.version;
         let is_older = self.is_older(list);
-        if !is_older {
+        if self.was_overtaken(call, list) {
+            self.state.set_confirmed();
+        } else if !is_older {
             let update = if list.snapshot { EndpointUpdate::Snapshot } else { EndpointUpdate::Delta };
             apply_list(self.driver, self.pool, update, list);
             self.state.set_received(list.index);
@@ -162,13 +173,24 @@
         }
     }
 
-    /// Whether a list is a delta that is older than the pool's list: discovery was restarted, so that a snapshot is needed.
+    /// Whether a list is a delta that is older than the pool's list, as discovery was restarted, or one for a list that has
+    /// expired meanwhile: a snapshot is needed.
     fn is_older(&self, list: &List) -> bool {
-        !list.snapshot && list.index < self.version
+        !list.snapshot && (list.index < self.version || self.state.has_expired())
+    }
+
+    /// Whether a confirmation has returned this list, or a later one, while the call was in flight.
+    fn was_overtaken(&self, call: &Call, list: &List) -> bool {
+        let version = self.state.version().filter(|_| !self.state.has_expired());
+        version != call.last_version
+            && version.is_some_and(|version| (self.version..=version).contains(&list.index))
     }
 
     async fn on_failure(&mut self, call: &Call, error: &PollError) {
         self.record_failure(error);
+        if let Some(known_at) = self.missed_changes_known_at(call, error) {
+            self.state.expire_by(known_at + self.config.expiry_delay());
+        }
         if self.config.mode == DiscoveryMode::Push {
             tokio::time::sleep_until(self.latest_retry(call).into()).await;
         } else {
@@ -182,6 +204,27 @@
         self.is_catching_up = true;
     }
 
+    /// Returns the time from which on changes that a failed call may have missed count as known to the proxy, if they do so
+    /// before discovery answers another call.
+    ///
+    /// Where lists are polled, discovery ends its long polls when it goes down. So one that is never answered has fallen
+    /// silent, and one that ends without an answer has missed nothing. An agent that pushes lists is silent while discovery is
+    /// down, so that silence shows nothing; it knows all of an answer of which only a part was received.
+    fn missed_changes_known_at(&self, call: &Call, error: &PollError) -> Option<Instant> {
+        if !self.config.expires_unconfirmed_list {
+            return None;
+        }
+        match (self.config.mode, error) {
+            (DiscoveryMode::Push, PollError::Incomplete(_)) => Some(call.made_at),
+            (DiscoveryMode::Push, _) => None,
+            (_, PollError::Incomplete(_)) => Some(call.made_at + call.wait + SILENT_POLL_ALLOWANCE),
+            (_, PollError::TimedOut) if call.is_long_poll => {
+                Some(call.made_at + call.wait + SILENT_POLL_ALLOWANCE)
+            }
+            _ => None,
+        }
+    }
+
     fn record_failure(&mut self, error: &PollError) {
         self.connection = None;
         self.failures += 1;
--- a/crates/shaletide/src/descriptors.rs
+++ b/crates/shaletide/src/descriptors.rs
@@ -9,10 +9,12 @@
 use tracing::warn;
 
 /// The descriptors that every process needs. Observed in use: 3 standard streams, 5 of the event loop and signals, 2 by which
-/// threads report a reload, a listener, a call to discovery; 4 for configuration files that are being read; 8 are spare.
+/// threads report a reload, a listener, two calls to discovery; 4 for configuration files that are being read; 7 are spare.
 const PROCESS_DESCRIPTORS: usize = 24;
-/// The number of listeners, and of calls to discovery, that [`PROCESS_DESCRIPTORS`] includes: one of each.
+/// The number of listeners, and of discoveries, that [`PROCESS_DESCRIPTORS`] includes: one of each.
 const INCLUDED_IN_PROCESS: usize = 1;
+/// The calls that may be open at each discovery: the subscription's, and a confirmation where lists are pushed.
+const CALLS_PER_DISCOVERY: usize = 2;
 /// The control socket, its lock, and 8 operators' connections, the limit of `shaletide-control`.
 const CONTROL_DESCRIPTORS: usize = 10;
 /// The store of record: 4 for its writer (database, write-ahead log, index, directory), and 3 for a reader in each of 8
@@ -67,7 +69,12 @@
     let discoveries = setup.discoveries().len().saturating_sub(INCLUDED_IN_PROCESS);
     let control = if operator.control.is_some() { CONTROL_DESCRIPTORS } else { 0 };
     let store = if setup.record.is_some() { STORE_DESCRIPTORS } else { 0 };
-    MAX_EXTRA_CLIENT_DESCRIPTORS + PROCESS_DESCRIPTORS + listeners + discoveries + control + store
+    MAX_EXTRA_CLIENT_DESCRIPTORS
+        + PROCESS_DESCRIPTORS
+        + listeners
+        + discoveries * CALLS_PER_DISCOVERY
+        + control
+        + store
 }
 
 #[cfg(test)]
--- a/crates/shaletide/src/descriptors/tests.rs
+++ b/crates/shaletide/src/descriptors/tests.rs
@@ -30,7 +30,7 @@
             for more in ["", ALL] {
                 let divided = Descriptors::new(limit, &setup(listeners, discoveries, more));
                 let taken = divided.clients + MAX_EXTRA_CLIENT_DESCRIPTORS + divided.upstreams;
-                let in_use = 10 + listeners + discoveries; // standard streams, event loop, signals
+                let in_use = 10 + listeners + 2 * discoveries; // standard streams, event loop, signals
                 assert!(limit - taken >= in_use, "{divided:?} {listeners} {discoveries} {more:?}");
                 assert!(divided.clients >= 1 && divided.upstreams >= 1);
             }
@@ -42,6 +42,6 @@
 fn discoveries_added_by_reload_reduce_upstream_connections() {
     let before = Descriptors::new(256, &setup(1, 1, ""));
     let after = before.reconfigured(&setup(1, 41, ""));
-    assert_eq!((after.clients, after.upstreams), (before.clients, before.upstreams - 40));
+    assert_eq!((after.clients, after.upstreams), (before.clients, before.upstreams - 80));
     assert_eq!(after.reconfigured(&setup(1, 1, "")), before);
 }
--- a/crates/soak/src/plan/fault_kind.rs
+++ b/crates/soak/src/plan/fault_kind.rs
@@ -44,6 +44,8 @@
     EarlyStop,
     /// The open calls at discovery fall silent, backends drain, and discovery moves to addresses at which it does not answer.
     SilentMove,
+    /// The open calls at discovery fall silent, backends drain, and discovery goes down: each a free time after the one before.
+    SilentOutage,
     /// Answers have no length: those of most backends end in order, those of others in a reset.
     Lengthless,
     /// Proxies are cut off from every other backend for longer than the usual deduplication window: what was sent waits.
@@ -75,7 +77,8 @@
     ];
 
     /// Kinds that are played only by name. They are not drawn, so that the plans of earlier seeds stay the same.
-    pub const NAMED: [FaultKind; 3] = [FaultKind::SilentMove, FaultKind::Lengthless, FaultKind::Partition];
+    pub const NAMED: [FaultKind; 4] =
+        [FaultKind::SilentMove, FaultKind::SilentOutage, FaultKind::Lengthless, FaultKind::Partition];
 
     /// Whether faults of this kind are in links between proxies and backends.
     pub(crate) fn is_in_backend_links(self) -> bool {
--- a/crates/soak/src/plan/faults.rs
+++ b/crates/soak/src/plan/faults.rs
@@ -49,6 +49,7 @@
             FaultKind::Lengthless => self.add_lengthless_answers(),
             FaultKind::Partition => self.add_partitions(),
             FaultKind::SilentMove => self.add_silent_moves(),
+            FaultKind::SilentOutage => self.add_silent_outage(),
         }
     }
 
@@ -162,6 +163,22 @@
         }
     }
 
+    /// The silence may be several calls old at the drains. The outage begins late enough for a proxy that was paused to have
+    /// called discovery after the drains, and lasts longer than the grace.
+    fn add_silent_outage(&mut self) {
+        let silent = self.between(0.06, 0.2) * self.length_s();
+        self.add(silent, Step::OpenCallsSilent);
+        let drained = silent + self.between(0.0, 0.5);
+        for backend in self.sample_backends(0.3) {
+            self.add(drained, Step::DrainBackend(backend));
+        }
+        let down = drained + self.between(0.3, 1.0);
+        let is_silent = self.chance(0.7);
+        self.add(down, if is_silent { Step::DiscoverySilent } else { Step::DiscoveryBroken });
+        let duration = self.between(0.6, 0.8) * self.length_s();
+        self.add(down + duration, Step::DiscoveryUp);
+    }
+
     fn add_drains(&mut self) {
         for backend in self.sample_backends(0.3) {
             let at = self.time();
--- a/crates/soak/tests/soak.rs
+++ b/crates/soak/tests/soak.rs
@@ -1,4 +1,4 @@
-//! Runs the soak for about a minute and a half: ten runs with given fault kinds, three with drawn ones. The long form is
+//! Runs the soak for about a minute and three quarters: 13 runs with given fault kinds, three with drawn ones. The long form is
 //! `shaletide-soak --seeds N`.
 
 use nix::sys::signal::Signal;
@@ -75,6 +75,9 @@
         vec![FaultKind::Lengthless, FaultKind::Calls, FaultKind::Freeze],
         vec![FaultKind::BackendLink],
         vec![FaultKind::Partition, FaultKind::Kill],
+        vec![FaultKind::SilentOutage],
+        vec![FaultKind::SilentOutage, FaultKind::Freeze, FaultKind::Clients],
+        vec![FaultKind::SilentOutage, FaultKind::Kill],
     ];
     for (seed, kinds) in (1..).zip(&kinds) {
         let report = run_seed(seed, &scale(), kinds, &artifacts).expect("a run");
