Soak: shorter gaps of SilentOutage, so that it shows the fault it is for

Change: drains come up to 0.3 s after the silence, the outage 0.2 to 0.5 s after them; a proxy that is paused for 0.15 s has still called discovery in between.

--- a/crates/soak/src/plan/faults.rs
+++ b/crates/soak/src/plan/faults.rs
@@ -168,11 +168,11 @@
     fn add_silent_outage(&mut self) {
         let silent = self.between(0.06, 0.2) * self.length_s();
         self.add(silent, Step::OpenCallsSilent);
-        let drained = silent + self.between(0.0, 0.5);
+        let drained = silent + self.between(0.0, 0.3);
         for backend in self.sample_backends(0.3) {
             self.add(drained, Step::DrainBackend(backend));
         }
-        let down = drained + self.between(0.3, 1.0);
+        let down = drained + self.between(0.2, 0.5);
         let is_silent = self.chance(0.7);
         self.add(down, if is_silent { Step::DiscoverySilent } else { Step::DiscoveryBroken });
         let duration = self.between(0.6, 0.8) * self.length_s();
