Answer 409 to a request whose id ended a moment ago and may have been executed

Cause: a client that sent an unsafe or keyed request, left, and sent it again under its id had it executed twice. Ids were kept apart only while a request was open; after its client had left, the id was free and its request began anew, though the attempt that was out may have been executed. Such an id gets 409, as 429 and 503 would promise that it has not run. Rejected requests, safe ones and those of classes with a store of record are as before.

--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -9,6 +9,7 @@
 mod connection;
 mod counters;
 mod eviction;
+mod executed_ids;
 mod limits;
 mod listener;
 mod outgoing;
--- a/crates/http/src/outgoing.rs
+++ b/crates/http/src/outgoing.rs
@@ -13,7 +13,7 @@
 use shaletide_balancer::{Arrival, Micros, RequestId, Time};
 use shaletide_engine::RequestSpec;
 use shaletide_net::strip_hop_by_hop;
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 
 /// A request that is ready for the driver.
@@ -60,6 +60,7 @@
             time_left_header: rules.time_left_header.clone(),
             response_rules: target.response_rules.clone(),
             responses: RefCell::default(),
+            executed_attempts: Cell::new(0),
         });
         Ok(OutgoingRequest { id, deadline, spec, tenant: parsed.tenant_name, key: parsed.key, forwarded })
     }
--- a/crates/http/src/proxy.rs
+++ b/crates/http/src/proxy.rs
@@ -9,7 +9,7 @@
 use crate::request_error::RequestError;
 use crate::request_id::OpenIdGuard;
 use crate::response::{final_response, key_decision_response, rejection, text_response};
-use crate::rules::Rules;
+use crate::rules::{ClassRule, Rules};
 use crate::server::Server;
 use bytes::Bytes;
 use http_body_util::Full;
@@ -18,7 +18,8 @@
 use hyper::http::request::Parts;
 use hyper::{Request, Response, StatusCode};
 use shaletide_balancer::{Idempotency, Micros, RequestId, Time};
-use shaletide_net::{Driver, RequestEvent, RequestIdentity, SubmitError};
+use shaletide_net::{Driver, FinalResponse, RequestEvent, RequestIdentity, SubmitError};
+use shaletide_routing::FinalDecision;
 use std::rc::Rc;
 
 /// `Retry-After` for a request whose body found no room. Slow bodies have ended by then.
@@ -140,13 +141,18 @@
         self: &Rc<Self>, client: &Client, rules: &Rules, outgoing: OutgoingRequest,
     ) -> Result<Response<Full<Bytes>>, RequestError> {
         let OutgoingRequest { id, deadline, spec, tenant, key, forwarded } = outgoing;
-        let _id_guard = OpenIdGuard::new(&self.open_ids, id).ok_or(RequestError::IdInUse)?;
+        let mut id_guard = OpenIdGuard::new(self, id)?;
         client.mark_proven();
         self.latest_deadline.set(self.latest_deadline.get().max(deadline));
         let is_safe = spec.idempotency == Idempotency::Safe;
+        let class = &rules.classes[spec.arrival.class.0];
+        // The record knows more of its requests: whether they were executed, and for longer.
+        if let Some(retention) = id_retention(class).filter(|_| !self.driver.is_recorded(&class.name)) {
+            id_guard.keep_if_executed(forwarded.clone(), retention);
+        }
         let identity = RequestIdentity {
             tenant: tenant.as_deref().unwrap_or_default(),
-            class: &rules.classes[spec.arrival.class.0].name,
+            class: &class.name,
             key: key.as_deref().map(str::as_bytes),
         };
         let (request, answer) = match self.driver.submit(spec, deadline, identity, forwarded.clone()) {
@@ -163,6 +169,9 @@
             () = client.stream.closed_after_excess(body_length) => return Err(RequestError::LengthMismatch),
         };
         guard.open = false;
+        if matches!(&answer, Ok(FinalResponse { decision: FinalDecision::Rejected(_), .. })) {
+            id_guard.set_rejected();
+        }
         let mut response = match answer {
             Ok(answer) => final_response(rules, answer, &forwarded, is_safe),
             Err(_) => text_response(StatusCode::GATEWAY_TIMEOUT, "timed out\n"),
@@ -175,6 +184,17 @@
     }
 }
 
+/// Returns the time for which the id of a request of this class is kept after its end, as the request may come again: a client
+/// waits no longer than the class's deadline, and backends may discard a repeat until the key's window is over. `None` if a
+/// second execution has no effect.
+fn id_retention(class: &ClassRule) -> Option<Micros> {
+    match class.idempotency {
+        Idempotency::Safe => None,
+        Idempotency::Keyed(_, window) => Some(class.deadline.max(window)),
+        Idempotency::NonIdempotent => Some(class.deadline),
+    }
+}
+
 /// Adds `Connection: close` to a response.
 fn set_connection_close(response: &mut Response<Full<Bytes>>) {
     response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
--- a/crates/http/src/request_error.rs
+++ b/crates/http/src/request_error.rs
@@ -18,6 +18,8 @@
     InvalidId,
     /// Another open request has the same id.
     IdInUse,
+    /// A request with the same id has ended and may have been executed; its class does not allow a second execution.
+    IdExecuted,
     /// The class does not allow the method. If such a request were accepted, it could be treated as more idempotent than it
     /// is and be executed twice by a retry.
     MethodNotAllowed(ClassId),
@@ -63,7 +65,7 @@
     fn status(self) -> StatusCode {
         match self {
             RequestError::UnknownClass | RequestError::NoRoute => StatusCode::NOT_FOUND,
-            RequestError::IdInUse => StatusCode::CONFLICT,
+            RequestError::IdInUse | RequestError::IdExecuted => StatusCode::CONFLICT,
             RequestError::MethodNotAllowed(_) | RequestError::ProbeMethod => StatusCode::METHOD_NOT_ALLOWED,
             RequestError::TransferEncoding => StatusCode::LENGTH_REQUIRED,
             RequestError::BodyTooSlow => StatusCode::REQUEST_TIMEOUT,
@@ -94,6 +96,7 @@
             RequestError::UnknownClass => "no such class",
             RequestError::NoRoute => "no route takes this",
             RequestError::IdInUse => "a request of this id is open",
+            RequestError::IdExecuted => "a request of this id may have run",
             RequestError::MethodNotAllowed(_) => "the class does not take this method",
             RequestError::InvalidKey => "this class wants exactly one key that is not empty",
             RequestError::KeyTooLong => "the key, or the tenant's name, is too long for the record",
--- a/crates/http/src/request_id.rs
+++ b/crates/http/src/request_id.rs
@@ -1,9 +1,11 @@
-//! Generates ids for requests that have none, and keeps ids unique among open requests.
+//! Generates ids for requests that have none, and keeps ids unique among open requests and those that may have been executed.
 
+use crate::request_error::RequestError;
 use crate::server::Server;
+use crate::upstream::ForwardedRequest;
 use hyper::header::HeaderValue;
-use std::cell::RefCell;
-use std::collections::HashSet;
+use shaletide_balancer::Micros;
+use std::rc::Rc;
 
 impl Server {
     /// Generates an id that differs from all ids generated before.
@@ -17,22 +19,49 @@
     }
 }
 
-/// Reserves the id of an open request until dropped, so that no other request can use it.
+/// Reserves the id of an open request until dropped, so that no other request can use it. If the request may have been
+/// executed, its id cannot be used for some time after that either.
 pub(crate) struct OpenIdGuard<'a> {
-    ids: &'a RefCell<HashSet<HeaderValue>>,
+    server: &'a Server,
     id: HeaderValue,
+    /// The attempts of the request, and the time for which its id is kept; `None` if it may be executed again.
+    kept: Option<(Rc<ForwardedRequest>, Micros)>,
 }
 
 impl<'a> OpenIdGuard<'a> {
-    /// Reserves `id`. Returns `None` if a request with that id is open.
-    pub(crate) fn new(ids: &'a RefCell<HashSet<HeaderValue>>, id: HeaderValue) -> Option<OpenIdGuard<'a>> {
-        let is_unused = ids.borrow_mut().insert(id.clone());
-        is_unused.then_some(OpenIdGuard { ids, id })
+    /// Reserves `id`.
+    ///
+    /// # Errors
+    /// A request with that id is open, or may have been executed.
+    pub(crate) fn new(server: &'a Server, id: HeaderValue) -> Result<OpenIdGuard<'a>, RequestError> {
+        let now = server.driver.clock.now();
+        if server.executed_ids.borrow_mut().contains(now, id.as_bytes()) {
+            return Err(RequestError::IdExecuted);
+        }
+        if !server.open_ids.borrow_mut().insert(id.clone()) {
+            return Err(RequestError::IdInUse);
+        }
+        Ok(OpenIdGuard { server, id, kept: None })
+    }
+
+    /// Keeps the id for `retention` after the end of the request, if one of its attempts may have been executed by then.
+    pub(crate) fn keep_if_executed(&mut self, request: Rc<ForwardedRequest>, retention: Micros) {
+        self.kept = Some((request, retention));
+    }
+
+    /// The request was rejected: the client may send it again.
+    pub(crate) fn set_rejected(&mut self) {
+        self.kept = None;
     }
 }
 
 impl Drop for OpenIdGuard<'_> {
     fn drop(&mut self) {
-        self.ids.borrow_mut().remove(&self.id);
+        self.server.open_ids.borrow_mut().remove(&self.id);
+        let Some((request, retention)) = self.kept.take() else { return };
+        if request.may_have_executed() {
+            let now = self.server.driver.clock.now();
+            self.server.executed_ids.borrow_mut().insert(now, self.id.as_bytes(), now + retention);
+        }
     }
 }
--- a/crates/http/src/server.rs
+++ b/crates/http/src/server.rs
@@ -3,6 +3,7 @@
 
 use crate::connection::{Client, SlotCounters};
 use crate::counters::Counters;
+use crate::executed_ids::ExecutedIds;
 use crate::readiness::ReadinessLog;
 use crate::rules::Rules;
 use hyper::header::HeaderValue;
@@ -27,6 +28,8 @@
     pub(crate) body_senders: RefCell<HashMap<BodyId, Rc<Client>>>,
     /// The ids of open requests.
     pub(crate) open_ids: RefCell<HashSet<HeaderValue>>,
+    /// The ids of requests that ended not long ago and may have been executed.
+    pub(crate) executed_ids: RefCell<ExecutedIds>,
     /// State of the generator of request ids.
     pub(crate) id_state: Cell<u64>,
     pub(crate) next_connection: Cell<u64>,
@@ -60,6 +63,7 @@
             max_clients,
             clients: RefCell::default(),
             open_ids: RefCell::default(),
+            executed_ids: RefCell::default(),
             id_state: Cell::new(seed),
             next_connection: Cell::default(),
             readiness_log: ReadinessLog::default(),
--- a/crates/http/src/upstream.rs
+++ b/crates/http/src/upstream.rs
@@ -19,7 +19,7 @@
     RequestTrace, Stream, UpstreamRequest,
 };
 use shaletide_routing::{ErrorResponses, LastResponse, ResponseClass, ResponseRules};
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -48,6 +48,8 @@
     pub response_rules: Rc<ResponseRules>,
     /// The responses that may be forwarded, at most one per attempt.
     pub responses: RefCell<Vec<AttemptResponse>>,
+    /// The number of attempts that have begun and were not answered with the proof that they were not executed.
+    pub executed_attempts: Cell<usize>,
 }
 
 /// The response to an attempt.
@@ -69,6 +71,11 @@
 }
 
 impl ForwardedRequest {
+    /// Whether an attempt has begun of which no response proves that it was not executed.
+    pub fn may_have_executed(&self) -> bool {
+        self.executed_attempts.get() > 0
+    }
+
     /// Removes and returns the response to an attempt, with its summary for the choice of the final response.
     pub fn take(&self, attempt: AttemptNumber) -> Option<(LastResponse, BackendResponse)> {
         let mut responses = self.responses.borrow_mut();
@@ -84,6 +91,9 @@
         let rules = &self.response_rules;
         let header = |name: &str| single_value(&response.headers, name);
         let class = rules.classify(response.status.as_u16(), header);
+        if class == ResponseClass::NotExecuted {
+            self.executed_attempts.set(self.executed_attempts.get().saturating_sub(1));
+        }
         let report = rules.load_report_header.as_deref().and_then(header).map(LoadReport::parse);
         if class == ResponseClass::Served || rules.error_responses == ErrorResponses::Forward {
             self.responses.borrow_mut().push(AttemptResponse { attempt, class, response });
@@ -106,6 +116,7 @@
             let time_left = spec.deadline.saturating_duration_since(Instant::now());
             let request = request_to_backend(&self, spec.to, time_left);
             spec.stream.begin_request(self.body.len());
+            self.executed_attempts.set(self.executed_attempts.get() + 1);
             match exchange(&spec.stream, request, spec.stall_timeout, spec.max_body).await {
                 Ok(answered) => self.on_response(spec.attempt, answered),
                 Err(ExchangeError::InvalidResponse(fault)) => {
--- a/crates/http/src/upstream/tests.rs
+++ b/crates/http/src/upstream/tests.rs
@@ -27,6 +27,7 @@
             time_left_header: HeaderName::from_static("x-time-left"),
             response_rules: Rc::new(ResponseRules::operator_default()),
             responses: RefCell::default(),
+            executed_attempts: Cell::new(0),
         });
         let stream = Stream::new(tokio::net::TcpStream::connect(to).await.unwrap());
         let (attempt, deadline, max_body) = (AttemptNumber(0), Instant::now() + Duration::from_secs(20), 64);
@@ -61,6 +62,7 @@
         time_left_header: HeaderName::from_static("x-time-left"),
         response_rules: Rc::new(ResponseRules::operator_default()),
         responses: RefCell::default(),
+        executed_attempts: Cell::new(0),
     }
 }
 
--- a/crates/net/src/driver/recording.rs
+++ b/crates/net/src/driver/recording.rs
@@ -33,6 +33,11 @@
         self.handle_event(Event::GiveUp { request, retry_after });
     }
 
+    /// Whether requests of this class are recorded.
+    pub fn is_recorded(&self, class: &str) -> bool {
+        self.state.borrow().recorder.as_ref().is_some_and(|recorder| recorder.records(class))
+    }
+
     /// Passes an event on to the recorder, if one is set.
     pub(super) fn record_event(&self, event: shaletide_record::Event) {
         let recorder = self.state.borrow().recorder.clone();
