Repeat a keyed request only at an address whose process is known to be the old one

Cause: a keyed request was executed in two groups. The processes of its group ended, new ones of another group came up at their addresses, the connection of the first copy broke with that, and the repeat went to the other address by a list that was 1.2 s old: the process there had never seen the key. Change: a connection that was open before the first copy was sent and is still open shows that the process at its address has not changed. The driver looks for one, by the kernel's word, before it connects for a repeat and before it writes it; else the attempt ends as not sent. Action::Connect says for which request a repeat is. The report counts the repeats declined.

--- a/crates/engine/src/engine/attempts.rs
+++ b/crates/engine/src/engine/attempts.rs
@@ -79,7 +79,8 @@
             return self.end_attempt(now, id, number, Outcome::NotSent, actions);
         }
         let Some(backend) = self.requests.attempt(id, number).map(|attempt| attempt.backend) else { return };
-        let usable = self.connections.usable(now, backend).filter(|_| !self.is_keyed_repeat(id, number));
+        let is_keyed_repeat = self.is_keyed_repeat(id, number);
+        let usable = self.connections.usable(now, backend).filter(|_| !is_keyed_repeat);
         if let Some(connection) = usable {
             return self.send_request(now, connection, id, number, actions);
         }
@@ -94,7 +95,8 @@
         if let Some(attempt) = self.requests.attempt_mut(id, number) {
             attempt.state = AttemptState::Connecting(connection);
         }
-        actions.push(Action::Connect { connection, backend });
+        let repeat_of = is_keyed_repeat.then_some(id);
+        actions.push(Action::Connect { connection, backend, repeat_of });
     }
 
     /// Whether an attempt may still start. Checked before a connection is selected and again before the first byte.
--- a/crates/engine/src/event.rs
+++ b/crates/engine/src/event.rs
@@ -158,6 +158,9 @@
         connection: ConnectionId,
         /// The backend to connect to.
         backend: BackendId,
+        /// The request, if the connection is for a repeat of its key: another attempt may have been executed or still may be. The
+        /// repeat is discarded only by a process that was at the backend's address before.
+        repeat_of: Option<RequestId>,
     },
     /// Write a request on an open connection. If the connection has received bytes, the driver writes nothing and reports
     /// [`Event::ConnectionUnusable`].
--- a/crates/engine/src/monitor/observed.rs
+++ b/crates/engine/src/monitor/observed.rs
@@ -160,7 +160,7 @@
 
     pub(super) fn observe_action(&mut self, now: Time, action: &Action) {
         match action {
-            Action::Connect { connection, backend } => {
+            Action::Connect { connection, backend, .. } => {
                 let known = ObservedConnection {
                     backend: *backend,
                     state: ObservedConnectionState::Connecting,
--- a/crates/engine/src/monitor/slow_start.rs
+++ b/crates/engine/src/monitor/slow_start.rs
@@ -82,7 +82,9 @@
     /// A backend was sent more than its slow start budget.
     pub fn observe_action(&mut self, now: Time, action: &Action) -> Verdict {
         match action {
-            Action::Connect { connection, backend } => drop(self.connections.insert(*connection, *backend)),
+            Action::Connect { connection, backend, .. } => {
+                self.connections.insert(*connection, *backend);
+            }
             Action::Close { connection } => drop(self.connections.remove(connection)),
             Action::Answer { request, .. } => drop(self.work.remove(request)),
             Action::Send { connection, request, .. } => {
--- a/crates/engine/src/monitor/tests/mod.rs
+++ b/crates/engine/src/monitor/tests/mod.rs
@@ -112,7 +112,7 @@
 }
 
 fn open(number: u32, to: u32) -> Action {
-    Action::Connect { connection: connection(number), backend: BackendId(to) }
+    Action::Connect { connection: connection(number), backend: BackendId(to), repeat_of: None }
 }
 
 fn send(on: u32, number: u32) -> Action {
--- a/crates/engine/tests/counterexamples.rs
+++ b/crates/engine/tests/counterexamples.rs
@@ -234,7 +234,11 @@
     s.respond(1, ResponseClass::NotExecuted, true);
     s.now = s.now + Micros(1_000); // connection 1 may be used again
     let (connection, backend) = (ConnectionId(2), BackendId(0));
-    assert_eq!(s.dispatch(2), [Action::Connect { connection, backend }], "attempt 0 may have been executed");
+    assert_eq!(
+        s.dispatch(2),
+        [Action::Connect { connection, backend, repeat_of: Some(RequestId(0)) }],
+        "attempt 0 may have been executed"
+    );
     assert!(
         matches!(s.connect(2)[..], [Action::Send { connection: at, requires_live_path: true, .. }] if at == connection)
     );
@@ -376,13 +380,20 @@
         s.request(KEYED, false);
         assert_eq!(
             s.dispatch(0),
-            [Action::Connect { connection: ConnectionId(connection), backend: BackendId(0) }]
+            [Action::Connect {
+                connection: ConnectionId(connection),
+                backend: BackendId(0),
+                repeat_of: None
+            }]
         );
         s.handle(Event::ClientDisconnected { request: RequestId(0) });
     }
     s.request(KEYED, false);
     let (closed, opened) = (Action::Close { connection: ConnectionId(0) }, ConnectionId(8));
-    assert_eq!(s.dispatch(0), [closed, Action::Connect { connection: opened, backend: BackendId(0) }]);
+    assert_eq!(
+        s.dispatch(0),
+        [closed, Action::Connect { connection: opened, backend: BackendId(0), repeat_of: None }]
+    );
     assert_eq!(s.engine.connection_count(), 8);
     assert_eq!(
         s.handle(Event::ConnectFailed { connection: ConnectionId(0), backend_at_fault: true }),
@@ -414,7 +425,7 @@
         actions,
         [
             Action::Close { connection: ConnectionId(5) },
-            Action::Connect { connection: ConnectionId(8), backend }
+            Action::Connect { connection: ConnectionId(8), backend, repeat_of: None }
         ]
     );
 }
--- a/crates/model-checker/src/timeline.rs
+++ b/crates/model-checker/src/timeline.rs
@@ -137,7 +137,7 @@
 
 fn describe_action(action: &Action) -> String {
     match action {
-        Action::Connect { connection, backend } => {
+        Action::Connect { connection, backend, .. } => {
             format!("open connection {} to box {}", connection.0, backend.0)
         }
         Action::Send { connection, request, attempt, .. } => {
--- a/crates/model-checker/tests/real_module.rs
+++ b/crates/model-checker/tests/real_module.rs
@@ -271,7 +271,7 @@
                 cold.observe_action(now, action).unwrap_or_else(|v| panic!("at tick {tick}: {v}"));
                 strict_violations += u32::from(strict.observe_action(now, action).is_err());
                 match action {
-                    Action::Connect { connection, backend } => {
+                    Action::Connect { connection, backend, .. } => {
                         backend_of.insert(*connection, *backend);
                         events.push_back(Event::Connected { connection: *connection });
                     }
--- a/crates/net/src/connection_table.rs
+++ b/crates/net/src/connection_table.rs
@@ -1,7 +1,7 @@
 //! The sockets and tasks of the engine's connections.
 
 use crate::stream::Stream;
-use shaletide_types::{BackendId, ConnectionId};
+use shaletide_types::{BackendId, ConnectionId, Time};
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use tokio::task::AbortHandle;
@@ -12,6 +12,8 @@
     pub to: SocketAddr,
     /// The stream; `None` while the connection is being established.
     pub stream: Option<Stream>,
+    /// When the connection was established; `None` while it is being established.
+    pub established_at: Option<Time>,
     /// The task of the connect or exchange in progress.
     pub task: Option<AbortHandle>,
     /// Whether an attempt is in progress on the connection.
@@ -27,6 +29,7 @@
             backend,
             to,
             stream: None,
+            established_at: None,
             task: Some(task),
             busy: false,
             just_established: false,
@@ -34,8 +37,9 @@
     }
 
     /// Marks the connection as established.
-    pub fn established(&mut self, stream: Stream) {
+    pub fn established(&mut self, stream: Stream, now: Time) {
         self.stream = Some(stream);
+        self.established_at = Some(now);
         self.task = None;
         self.just_established = true;
     }
@@ -46,6 +50,12 @@
         self.stream.as_ref().filter(|stream| !stream.has_pending_input_as_polled()).cloned()
     }
 
+    /// Whether the connection was established by that time and its peer has not closed it, by the kernel's current state.
+    fn is_open_since(&self, time: Time) -> bool {
+        let is_established = self.established_at.is_some_and(|established| established <= time);
+        is_established && self.stream.as_ref().is_some_and(|stream| !stream.peer_closed())
+    }
+
     fn has_pending_input(&self) -> bool {
         self.stream.as_ref().is_some_and(Stream::has_pending_input)
     }
@@ -68,6 +78,11 @@
 }
 
 impl ConnectionTable {
+    /// Whether a connection to this address has been open since that time.
+    pub fn has_connection_since(&self, to: SocketAddr, time: Time) -> bool {
+        self.by_id.values().any(|upstream| upstream.to == to && upstream.is_open_since(time))
+    }
+
     /// Returns the idle connections on which bytes have arrived or that the backend has closed, by the kernel's current
     /// state.
     pub fn with_pending_input(&self) -> Vec<ConnectionId> {
--- a/crates/net/src/driver.rs
+++ b/crates/net/src/driver.rs
@@ -166,7 +166,9 @@
 
     fn execute_action(self: &Rc<Self>, action: Action) {
         match action {
-            Action::Connect { connection, backend } => self.connect(connection, backend),
+            Action::Connect { connection, backend, repeat_of } => {
+                self.connect(connection, backend, repeat_of)
+            }
             Action::Send {
                 connection,
                 request,
--- a/crates/net/src/driver/attempts.rs
+++ b/crates/net/src/driver/attempts.rs
@@ -89,10 +89,15 @@
 }
 
 impl Driver {
-    /// Starts to establish a connection. The task is aborted if the connection is closed before it is established.
-    pub(super) fn connect(self: &Rc<Self>, connection: ConnectionId, backend: BackendId) {
+    /// Starts to establish a connection, unless it is for a repeat of a keyed request and the process that would get it may be
+    /// a new one at the address. The task is aborted if the connection is closed before it is established.
+    pub(super) fn connect(
+        self: &Rc<Self>, connection: ConnectionId, backend: BackendId, repeat_of: Option<RequestId>,
+    ) {
         let mut state = self.state.borrow_mut();
-        let Some(to) = state.directory.address(backend) else {
+        let to = state.directory.address(backend);
+        let to = to.filter(|to| repeat_of.is_none_or(|request| state.may_repeat_at(*to, request)));
+        let Some(to) = to else {
             state.pending_events.push_back(Event::ConnectFailed { connection, backend_at_fault: false });
             return;
         };
@@ -142,8 +147,9 @@
             match result {
                 Ok(tcp) => {
                     let stream = Stream::new(tcp);
+                    let now = self.clock.now();
                     if let Some(upstream) = state.connections.by_id.get_mut(&connection) {
-                        upstream.established(stream);
+                        upstream.established(stream, now);
                     }
                     Event::Connected { connection }
                 }
@@ -175,13 +181,20 @@
         } = dispatch;
         let mut state = self.state.borrow_mut();
         let state = &mut *state;
+        if requires_live_path && !state.may_repeat_on(connection, request) {
+            // The engine connects again, which finds the same.
+            state.counters.connections_unusable += 1;
+            state.trace_unusable(connection, request, attempt);
+            state.pending_events.push_back(Event::ConnectionUnusable { connection });
+            return;
+        }
         let upstream = state.connections.by_id.get_mut(&connection);
         let just_established = upstream.as_ref().is_some_and(|upstream| upstream.just_established);
         // The check of the cached readiness is enough here: the event loop may run other tasks before the first write, which
         // checks the kernel's state itself.
         let stream = upstream.as_ref().and_then(|upstream| upstream.usable_stream());
         let stream = stream.filter(|stream| stream.set_discard_on_close(discard_on_close).is_ok());
-        let open = state.open_requests.get(&request);
+        let open = state.open_requests.get_mut(&request);
         let (Some(upstream), Some(stream), Some(open)) = (upstream, stream, open) else {
             state.counters.connections_unusable += 1;
             state.trace_unusable(connection, request, attempt);
@@ -189,6 +202,7 @@
             return;
         };
         state.counters.dispatched += 1;
+        open.first_dispatched_at.get_or_insert_with(|| self.clock.now());
         let config = self.upstream_config.get();
         let exchange = ExchangeSpec {
             attempt,
@@ -278,6 +292,26 @@
 }
 
 impl State {
+    /// Whether a repeat of a keyed request may be sent to this address: an open connection shows that the process there has
+    /// been the same since before the first attempt was sent. A process that came up since would not know the key, and may
+    /// be of another deduplication group.
+    fn may_repeat_at(&mut self, to: SocketAddr, request: RequestId) -> bool {
+        let open = self.open_requests.get(&request);
+        // Until then, no attempt was sent that could be repeated.
+        let Some(first_dispatched_at) = open.and_then(|open| open.first_dispatched_at) else { return true };
+        let is_known = self.connections.has_connection_since(to, first_dispatched_at);
+        if !is_known {
+            self.counters.repeats_declined += 1;
+        }
+        is_known
+    }
+
+    /// The same as [`State::may_repeat_at`] for the address that a connection leads to.
+    fn may_repeat_on(&mut self, connection: ConnectionId, request: RequestId) -> bool {
+        let to = self.connections.by_id.get(&connection).map(|upstream| upstream.to);
+        to.is_none_or(|to| self.may_repeat_at(to, request))
+    }
+
     /// Returns the event for an exchange that has written at least one byte or received a response.
     fn outcome_event(&mut self, connection: ConnectionId, outcome: ExchangeOutcome) -> Event {
         match outcome {
--- a/crates/net/src/driver/counters.rs
+++ b/crates/net/src/driver/counters.rs
@@ -28,6 +28,8 @@
     pub connections_unusable: u64,
     /// Connections that could not be established.
     pub connects_failed: u64,
+    /// Repeats of keyed requests that were not sent, as the process at the address may be a new one.
+    pub repeats_declined: u64,
 }
 
 impl fmt::Display for Counters {
@@ -35,7 +37,7 @@
         write!(
             f,
             "requests {} served {} rejected {} failed {} timed out {} client disconnected {}; \
-             attempts {} invalid responses {} connections closed {} unusable {} connects failed {}",
+             attempts {} invalid responses {} connections closed {} unusable {} connects failed {} repeats declined {}",
             self.requests,
             self.served,
             self.rejected,
@@ -47,6 +49,7 @@
             self.connections_closed,
             self.connections_unusable,
             self.connects_failed,
+            self.repeats_declined,
         )
     }
 }
--- a/crates/net/src/driver/requests.rs
+++ b/crates/net/src/driver/requests.rs
@@ -41,6 +41,8 @@
     pub deadline: Time,
     /// Whether each attempt needs a persisted intent; `None` if the request is not recorded.
     pub requires_intent: Option<bool>,
+    /// When its first attempt was about to be written; `None` until then.
+    pub first_dispatched_at: Option<Time>,
     /// Set if the record has ended the request.
     pub conflict: Option<KeyConflict>,
 }
@@ -86,7 +88,14 @@
             trace.taken(id, deadline - now);
         }
         let (response, receiver) = oneshot::channel();
-        let open = OpenRequest { upstream_request, response, deadline, requires_intent, conflict: None };
+        let open = OpenRequest {
+            upstream_request,
+            response,
+            deadline,
+            requires_intent,
+            first_dispatched_at: None,
+            conflict: None,
+        };
         self.state.borrow_mut().open_requests.insert(id, open);
         spec.arrival.request = id;
         spec.requires_intent = requires_intent == Some(true);
