--- a/crates/shaletide/tests/harness/mod.rs
+++ b/crates/shaletide/tests/harness/mod.rs
@@ -38,6 +38,23 @@
 
 impl StartProxy for Proxy {}
 
+/// Starts this package's program with one backend.
+pub fn proxy_with_one_backend(backend: &BackendServer) -> Proxy {
+    Proxy::start(&[endpoint_json("b0", backend.address, "SERVING")])
+}
+
+/// Returns settings with this grace for a discovery that pushes its lists.
+pub fn push_settings(grace_ms: u64) -> String {
+    SETTINGS.replace("\"rules\":{", &format!("\"rules\":{{\"stop_sending_within_us\":{grace_ms}000,"))
+}
+
+/// Returns settings with this grace for a discovery that is subscribed to, with an engine that need not call for a minute.
+pub fn subscribe_settings(grace_ms: u64) -> String {
+    push_settings(grace_ms)
+        .replace("\"automatic\"", "\"subscribe\"")
+        .replace("_in_us\":9000000", "_in_us\":60000000")
+}
+
 /// The head of an operators' file: one class of each effect. The listeners are added when the file is served.
 pub const CLASSES: &str = r#"
 [[class]]
--- a/crates/shaletide/tests/proxy.rs
+++ b/crates/shaletide/tests/proxy.rs
@@ -8,10 +8,6 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-fn proxy_with_one_backend(backend: &BackendServer) -> Proxy {
-    Proxy::start(&[endpoint_json("b0", backend.address, "SERVING")])
-}
-
 fn proxy_with_two_backends(a: &BackendServer, b: &BackendServer) -> Proxy {
     Proxy::start(&[endpoint_json("b0", a.address, "SERVING"), endpoint_json("b1", b.address, "SERVING")])
 }
@@ -464,7 +460,7 @@
     let change = endpoint_list_json(9, false, &[endpoint_json("b0", backend.address, "SERVING")]);
     let answers = [(503, String::new()), (200, change)];
     for row in [[unavailable, unavailable, unusable, unusable], [unusable, unusable, unavailable, unusable]] {
-        let proxy = Proxy::start_with_settings(&[], 1024, &subscribe_settings());
+        let proxy = Proxy::start_with_settings(&[], 1024, &polled_settings());
         let mut call = proxy.discovery.next_call();
         assert_eq!(
             proxy.request(&read_request(0.3)).status(),
@@ -487,7 +483,7 @@
 fn rejected_call_is_followed_by_one_for_a_snapshot() {
     let backend = BackendServer::start(|_| ok_reply("x"));
     let backends = [endpoint_json("b0", backend.address, "SERVING")];
-    for settings in [subscribe_settings(), settings_with_grace(Some(10_000_000))] {
+    for settings in [polled_settings(), settings_with_grace(Some(10_000_000))] {
         for refusal in [400, 404, 302] {
             let proxy = Proxy::start_with_settings(&backends, 1024, &settings);
             let (_, answer) = answer_until_applied(&proxy.discovery, &backends, None);
@@ -521,7 +517,7 @@
 }
 
 /// Returns settings with which discovery is subscribed to.
-fn subscribe_settings() -> String {
+fn polled_settings() -> String {
     SETTINGS.replace("\"automatic\"", "\"subscribe\"")
 }
 
--- a/crates/shaletide/tests/repeated_ids.rs
+++ b/crates/shaletide/tests/repeated_ids.rs
@@ -6,10 +6,6 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-fn proxy_with_one_backend(backend: &BackendServer) -> Proxy {
-    Proxy::start(&[endpoint_json("b0", backend.address, "SERVING")])
-}
-
 fn assert_conflict(proxy: &RunningProgram, request: &str, case: &str) {
     let again = proxy.request(request);
     assert_eq!(
--- a/crates/shaletide/tests/service.rs
+++ b/crates/shaletide/tests/service.rs
@@ -8,10 +8,6 @@
 use std::sync::atomic::{AtomicBool, AtomicU32, Ordering::SeqCst};
 use std::sync::Arc;
 
-fn proxy_with_one_backend(backend: &BackendServer) -> Proxy {
-    Proxy::start(&[endpoint_json("b0", backend.address, "SERVING")])
-}
-
 /// On SIGHUP the program calls discovery at its new address at once, for a snapshot, although a call to the old address is
 /// still in flight. An invalid file changes nothing, nor does a second signal.
 #[test]
--- a/crates/shaletide/tests/service_terms.rs
+++ b/crates/shaletide/tests/service_terms.rs
@@ -38,18 +38,6 @@
     Err(format!("{event}: {took:?} of {bound:?}"))
 }
 
-/// Returns settings with this grace for a discovery that pushes its lists.
-fn push_settings(grace_ms: u64) -> String {
-    SETTINGS.replace("\"rules\":{", &format!("\"rules\":{{\"stop_sending_within_us\":{grace_ms}000,"))
-}
-
-/// Returns settings with this grace for a discovery that is subscribed to, with an engine that need not call for a minute.
-fn subscribe_settings(grace_ms: u64) -> String {
-    push_settings(grace_ms)
-        .replace("\"automatic\"", "\"subscribe\"")
-        .replace("_in_us\":9000000", "_in_us\":60000000")
-}
-
 /// Returns a list with line breaks and indentation.
 fn indented(index: u64, snapshot: bool, entries: &[String]) -> String {
     let spaced =
--- a/crates/shaletide/tests/silent_watch.rs
+++ b/crates/shaletide/tests/silent_watch.rs
@@ -15,16 +15,6 @@
 const SILENT_POLL_ALLOWANCE: Duration = Duration::from_secs(2);
 const SNAPSHOT_CALL: &str = "GET /api/targets HTTP/1.1";
 
-/// Returns settings with this grace for a discovery that pushes its lists.
-fn push_settings(grace_ms: u64) -> String {
-    SETTINGS.replace("\"rules\":{", &format!("\"rules\":{{\"stop_sending_within_us\":{grace_ms}000,"))
-}
-
-/// Returns settings with this grace for a discovery that is polled.
-fn subscribe_settings(grace_ms: u64) -> String {
-    push_settings(grace_ms).replace("\"automatic\"", "\"subscribe\"")
-}
-
 fn wait_until(event: &str, mut has_happened: impl FnMut() -> bool) {
     let start = Instant::now();
     while !has_happened() {
