Static pools are exempt from the check of the process behind an address

Change: may_repeat_at allows a backend of a static pool. The kit waits until each listener is logged.

--- a/crates/membership/src/directory.rs
+++ b/crates/membership/src/directory.rs
@@ -315,6 +315,12 @@
         self.backends.get(&id).map(|backend| backend.pool)
     }
 
+    /// Whether the backend is in a static pool, so that it is whatever has its address.
+    pub fn is_static(&self, id: BackendId) -> bool {
+        let pool = self.backends.get(&id).and_then(|backend| self.pools.get(&backend.pool));
+        pool.is_some_and(|pool| pool.is_static)
+    }
+
     /// Returns the backend's name, for logs.
     pub fn name(&self, id: BackendId) -> Option<&str> {
         self.backends.get(&id).map(|backend| &*backend.name)
--- a/crates/net/src/driver/attempts.rs
+++ b/crates/net/src/driver/attempts.rs
@@ -96,7 +96,7 @@
     ) {
         let mut state = self.state.borrow_mut();
         let to = state.directory.address(backend);
-        let to = to.filter(|to| repeat_of.is_none_or(|request| state.may_repeat_at(*to, request)));
+        let to = to.filter(|to| repeat_of.is_none_or(|request| state.may_repeat_at(backend, *to, request)));
         let Some(to) = to else {
             state.pending_events.push_back(Event::ConnectFailed { connection, backend_at_fault: false });
             return;
@@ -292,10 +292,14 @@
 }
 
 impl State {
-    /// Whether a repeat of a keyed request may be sent to this address: an open connection shows that the process there has
-    /// been the same since before the first attempt was sent. A process that came up since would not know the key, and may
-    /// be of another deduplication group.
-    fn may_repeat_at(&mut self, to: SocketAddr, request: RequestId) -> bool {
+    /// Whether a repeat of a keyed request may be sent to a backend at this address. A list may tell late that the address has
+    /// another process, which does not know the key and may be of another deduplication group: an open connection has to show
+    /// that the process there has been the same since before the first attempt was sent. A backend of a static pool is
+    /// whatever has its address.
+    fn may_repeat_at(&mut self, backend: BackendId, to: SocketAddr, request: RequestId) -> bool {
+        if self.directory.is_static(backend) {
+            return true;
+        }
         let open = self.open_requests.get(&request);
         // Until then, no attempt was sent that could be repeated.
         let Some(first_dispatched_at) = open.and_then(|open| open.first_dispatched_at) else { return true };
@@ -306,10 +310,11 @@
         is_known
     }
 
-    /// The same as [`State::may_repeat_at`] for the address that a connection leads to.
+    /// The same as [`State::may_repeat_at`] for the backend that a connection leads to.
     fn may_repeat_on(&mut self, connection: ConnectionId, request: RequestId) -> bool {
-        let to = self.connections.by_id.get(&connection).map(|upstream| upstream.to);
-        to.is_none_or(|to| self.may_repeat_at(to, request))
+        let upstream = self.connections.by_id.get(&connection);
+        let to = upstream.map(|upstream| (upstream.backend, upstream.to));
+        to.is_none_or(|(backend, to)| self.may_repeat_at(backend, to, request))
     }
 
     /// Returns the event for an exchange that has written at least one byte or received a response.
--- a/crates/testkit/src/proxy.rs
+++ b/crates/testkit/src/proxy.rs
@@ -177,7 +177,11 @@
         let path = write_temp_file("toml", &with_listeners(&listeners, text));
         let mut command = self.limited_command(None, 1024);
         command.args(["serve", "--self-check", "--config"]).arg(&path);
-        ServingProgram { running: RunningProgram::start(command, vec![path]), listeners }
+        let running = RunningProgram::start(command, vec![path]);
+        for listener in &listeners {
+            running.log.expect(0, &format!("listens on {},", listener.address()));
+        }
+        ServingProgram { running, listeners }
     }
 
     /// Returns the command that starts a process, with a configuration or without one.
