Pause between confirmations of an agent that answers them at once

Change: the next confirmation is called for no sooner than its wait after the one before. One that waits as it is asked to is called as before. Measured: the new test of silent_watch.rs fails before (20 calls in 7.5 ms); silent_watch, discovery_moves and proxy pass with it: 42 tests.

--- a/crates/discovery/src/confirmation.rs
+++ b/crates/discovery/src/confirmation.rs
@@ -43,6 +43,8 @@
             Ok(list) => {
                 failures = 0;
                 on_confirmation(driver, pool, state, &list);
+                // An agent that does not wait for changes would otherwise be called without a pause.
+                tokio::time::sleep(CONFIRMATION_WAIT.saturating_sub(made_at.elapsed())).await;
             }
             Err(error) => {
                 connection = None;
--- a/crates/shaletide/tests/silent_watch.rs
+++ b/crates/shaletide/tests/silent_watch.rs
@@ -90,6 +90,22 @@
     }
 }
 
+/// Guards against calling an agent without a pause that answers confirmations at once.
+#[test]
+fn agent_that_does_not_wait_is_called_for_confirmations_with_pauses() {
+    const CALLS: u32 = 20;
+    let backends = BackendPair::start();
+    let proxy = Proxy::start_with_settings(&backends.old_entry(), 1024, &push_settings(2000));
+    let list = endpoint_list_json(9, true, &backends.old_entry());
+    let _poll = answer_until_polled(&proxy.discovery, 9, &list);
+    let start = Instant::now();
+    for _ in 0..CALLS {
+        let (_, answer) = proxy.discovery.next_confirmation();
+        let _ = answer.send((200, endpoint_list_json(9, false, &[])));
+    }
+    assert!(start.elapsed() > Duration::from_millis(25) * (CALLS - 2), "{:?}", start.elapsed());
+}
+
 /// The long poll was made before the confirmation and is answered after it: its older list must not replace the later one.
 #[test]
 fn long_poll_overtaken_by_a_confirmation_does_not_restore_an_older_list() {
